Add the thin whole path: caller, entry, scheduler, worker, answer

Cause: there was nothing yet. The path runs in real processes: boxes with a replicated claim registry and a configuration log, one scheduler a hall, an HTTP side for callers and operators, stand-in workers and a platform list.

--- /dev/null
+++ b/packages/base/src/clayfield/base/clock.py
@@ -0,0 +1,59 @@
+"""The one clock type: milliseconds that only go forward.
+
+Decisions read time from a `Clock` given to them and from nothing else, so
+that a test can run them with a `ManualClock`. A reading means something only
+on the box that took it.
+"""
+
+import abc
+import time
+
+NS_PER_MS = 1_000_000
+
+
+class Clock(abc.ABC):
+    """A source of monotonic time."""
+
+    @abc.abstractmethod
+    def now_ms(self) -> float:
+        """Returns milliseconds since an arbitrary start."""
+
+
+class MonotonicClock(Clock):
+    """The machine's own monotonic clock."""
+
+    __slots__ = ()
+
+    def now_ms(self) -> float:
+        """Returns milliseconds of the machine's monotonic clock."""
+        return time.monotonic_ns() / NS_PER_MS
+
+
+class ManualClock(Clock):
+    """A clock that moves only when it is told to."""
+
+    __slots__ = ("_now_ms",)
+
+    def __init__(self, now_ms: float = 0.0):
+        self._now_ms = now_ms
+
+    def now_ms(self) -> float:
+        """Returns the time that was last set."""
+        return self._now_ms
+
+    def set(self, now_ms: float) -> None:
+        """Moves the clock.
+
+        Args:
+            now_ms: the new time in milliseconds.
+
+        Raises:
+            ValueError: the new time lies before the present one.
+        """
+        if now_ms < self._now_ms:
+            raise ValueError(f"clock cannot go back to {now_ms}")
+        self._now_ms = now_ms
+
+    def advance(self, delta_ms: float) -> None:
+        """Moves the clock forward by `delta_ms` milliseconds."""
+        self.set(self._now_ms + delta_ms)
--- /dev/null
+++ b/packages/box/src/clayfield/box/core.py
@@ -0,0 +1,641 @@
+"""One box as a state machine: events and a clock in, actions out.
+
+The daemon runs it on sockets and a disk; the failure tests and benchmarks run
+the same class on a manual clock.
+"""
+
+import collections
+import random
+
+from clayfield.base import Clock, Kind, Problem
+from clayfield.box.actions import Applied, InForce, Persist, Send
+from clayfield.box.control import NO_CONTROL, Control
+from clayfield.box.follower import ConfigFollower
+from clayfield.box.identity import Identity
+from clayfield.box.registry import Registry
+from clayfield.config import Configuration, to_bytes
+from clayfield.dispatch import (
+    Action,
+    Answer,
+    Entry,
+    Submission,
+    TaskEnd,
+    ToNode,
+    ToRegistry,
+    ToScheduler,
+    WorkerInfo,
+    render_problem,
+)
+from clayfield.state import (
+    ClaimTable,
+    ConfigLog,
+    Replayed,
+    Timing,
+    hall_replicas,
+    home_hall,
+    owned_key,
+)
+from clayfield.state.claims import is_opening
+from clayfield.state.configlog import is_beginning
+from clayfield.state.group import Group, base_of
+from clayfield.state.membership import PeerTable, box_of
+from clayfield.wire import messages as m
+
+CONTROL_GROUP = "control"
+HALL_GROUP_PREFIX = "hall:"
+HEARTBEAT_MS = 250.0
+SYNC_MS = 5000.0
+APPLY_RESEND_MS = 400.0
+APPLY_TIMEOUT_MS = 5000.0
+WITNESS_PATIENCE = 3.0
+
+
+class _Apply:
+    """A file that an operator handed to this box."""
+
+    __slots__ = ("asked_ms", "cfg", "since_ms")
+
+    def __init__(self, cfg: Configuration, now_ms: float):
+        self.cfg = cfg
+        self.since_ms = now_ms
+        self.asked_ms = now_ms
+
+
+class BoxCore:
+    """The decisions of one box.
+
+    Attributes:
+        identity: who the box is.
+        entry: its submissions.
+        peers: its peers.
+        follower: its configuration in force.
+        registries: the claims that it replicates, by hall.
+        control: its part in the control log, None without a data folder.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        clock: Clock,
+        rng: random.Random,
+        stored: Replayed | None = None,
+        timing: Timing | None = None,
+    ):
+        """Starts a box.
+
+        Args:
+            identity: who it is.
+            clock: the time.
+            rng: spreads election times.
+            stored: what its data folder holds, None without one.
+            timing: the times of its groups.
+        """
+        self.identity = identity
+        self.peers = PeerTable(clock)
+        self.follower = ConfigFollower(clock)
+        self.entry = Entry(clock, identity.node, self.follower.current)
+        self._clock = clock
+        self._rng = rng
+        self._timing = timing or Timing()
+        self._actions: list[Action] = []
+        self._local: collections.deque[tuple[str, m.Message]] = (
+            collections.deque()
+        )
+        self._workers: list[WorkerInfo] = []
+        self._applies: dict[int, _Apply] = {}
+        self._next_apply = 1
+        self._next_hop = 0
+        self._next_beat_ms = 0.0
+        self._next_sync_ms = 0.0
+        self._scheduler: tuple[str, int] = ("", 0)
+        self._is_persisting = False
+        self._is_stopping = False
+        self._has_store_failed = False
+        self.control = self._make_control(stored)
+        self.registries = self._make_registries()
+        self._take_config()
+
+    def _make_control(self, stored: Replayed | None) -> Control | None:
+        if self.identity.box not in self.identity.control_boxes:
+            return None
+        group = Group(
+            CONTROL_GROUP,
+            self.identity.control_node,
+            self.identity.control_boxes,
+            ConfigLog,
+            lambda g: (
+                g.machine.is_open or g.consensus.has_command(is_beginning)
+            ),
+            self._clock,
+            self._rng,
+            self._timing,
+            stored=stored,
+        )
+        return Control(group)
+
+    def _make_registries(self) -> dict[str, Registry]:
+        halls = {n: p.hall for n, p in self.identity.boxes.items()}
+        registries = {}
+        for hall in self.identity.halls:
+            replicas = hall_replicas(hall, halls)
+            if self.identity.box in replicas:
+                is_own = hall == self.identity.hall
+                registries[hall] = self._make_registry(hall, replicas, is_own)
+        return registries
+
+    def _make_registry(
+        self, hall: str, replicas: tuple[str, ...], is_own: bool
+    ) -> Registry:
+        group = Group(
+            HALL_GROUP_PREFIX + hall,
+            self.identity.node,
+            replicas,
+            ClaimTable,
+            lambda g: g.machine.is_open or g.consensus.has_command(is_opening),
+            self._clock,
+            self._rng,
+            self._timing,
+            patience=1.0 if is_own else WITNESS_PATIENCE,
+        )
+        return Registry(self._clock, hall, group)
+
+    # Questions.
+
+    @property
+    def cfg(self) -> Configuration:
+        """The configuration in force."""
+        return self.follower.current
+
+    @property
+    def groups(self) -> list[Group]:
+        """The replicated groups that this box takes part in."""
+        groups = [registry.group for registry in self.registries.values()]
+        if self.control:
+            groups.append(self.control.group)
+        return groups
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the box can serve callers now."""
+        if self._is_stopping or self._has_store_failed:
+            return False
+        if not self.follower.version:
+            return False
+        own = self.registries.get(self.identity.hall)
+        if own and not own.group.is_voter:
+            return False
+        return bool(self._leader(HALL_GROUP_PREFIX + self.identity.hall)[0])
+
+    def home_of(self, key: str) -> str:
+        """Returns the home hall of a member's key."""
+        return home_hall(key, self.identity.halls)
+
+    # Events.
+
+    def submit(
+        self,
+        member: str,
+        key: str,
+        body: bytes,
+        service: str,
+        priority: str,
+        is_repeatable: bool,
+        deadline_ms: float,
+        tasks: list[bytes],
+        waiter: object,
+        is_first: bool = False,
+        traceparent: str = "",
+    ) -> Submission | None:
+        """Takes a checked submission; see `Entry.submit`."""
+        if service not in self.cfg.services or priority not in self.cfg.classes:
+            problem = Problem(Kind.NOT_FOUND, f"{service}, {priority}.")
+            self._actions.append(Answer(waiter, render_problem(problem)))
+            return None
+        return self.entry.submit(
+            owned_key(member, key),
+            body,
+            member,
+            service,
+            priority,
+            is_repeatable,
+            deadline_ms,
+            tasks,
+            waiter,
+            is_first,
+            traceparent,
+        )
+
+    def look_up(self, member: str, key: str, waiter: object) -> None:
+        """Asks for the state or the answer of a member's key."""
+        self.entry.look_up(owned_key(member, key), waiter)
+
+    def on_task_end(
+        self, grant: int, end: TaskEnd, answer: bytes, took_ms: float
+    ) -> None:
+        """Takes the end of a start; see `Entry.on_task_end`."""
+        self.entry.on_task_end(grant, end, answer, took_ms)
+
+    def on_workers(self, workers: list[WorkerInfo]) -> None:
+        """Takes the platform list of workers."""
+        self._workers = workers
+        for registry in self.registries.values():
+            if registry.scheduler:
+                registry.scheduler.set_workers(workers)
+
+    def apply(self, cfg: Configuration) -> int:
+        """Hands a checked file to the control log.
+
+        Returns:
+            The number under which `Applied` will tell what became of it.
+        """
+        request = self._next_apply
+        self._next_apply += 1
+        self._applies[request] = _Apply(cfg, self._clock.now_ms())
+        self._send_apply(request)
+        return request
+
+    def on_message(self, node: str, message: m.Message) -> None:
+        """Takes a message of another box.
+
+        Args:
+            node: the sender, by the envelope.
+            message: what it sent.
+        """
+        if not self.peers.accepts(node):
+            return
+        self.peers.on_heard(node)
+        self._handle(node, message)
+
+    def on_persisted(self, last_index: int) -> None:
+        """Learns that the latest `Persist` was carried out."""
+        self._is_persisting = False
+        if self.control and self.control.group.consensus:
+            self.control.group.consensus.on_persisted(last_index)
+
+    def on_store_failed(self) -> None:
+        """Learns that a `Persist` cannot be carried out, now or ever.
+
+        Nothing of it was confirmed, and nothing after it will be: this box
+        has no voice in the control log until it starts anew.
+        """
+        self._has_store_failed = True
+
+    def announce_stop(self) -> None:
+        """Says that the box is not ready, and goes on serving."""
+        self._is_stopping = True
+        self._next_beat_ms = 0.0
+
+    def begin_stop(self) -> None:
+        """Takes no new work, and hands leadership on."""
+        self.announce_stop()
+        self.entry.is_stopping = True
+        self._hand_on()
+
+    def _hand_on(self) -> None:
+        for group in self.groups:
+            if group.is_leader:
+                group.consensus.transfer()
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether a stopping box may end."""
+        return self.entry.is_idle and not any(
+            map(self._must_hand_on, self.groups)
+        )
+
+    def _must_hand_on(self, group: Group) -> bool:
+        """Tells whether this box leads a group that another could lead."""
+        if not group.is_leader:
+            return False
+        return any(
+            self.peers.is_live(box_of(voter))
+            for voter in group.consensus.members.voters
+            if voter != group.node
+        )
+
+    def tick(self) -> None:
+        """Lets time act; to be called every few tens of ms."""
+        now_ms = self._clock.now_ms()
+        if self.control:
+            self.control.tick(self.peers)
+        for registry in self.registries.values():
+            registry.tick(
+                self.peers,
+                self.identity.boxes_in(registry.hall),
+                self.cfg.limits.claim_retention_ms,
+            )
+        self.entry.tick()
+        self._tick_applies(now_ms)
+        if self.entry.is_stopping:
+            self._hand_on()
+        if now_ms >= self._next_beat_ms:
+            self._beat(now_ms)
+        if now_ms >= self._next_sync_ms:
+            self._send_sync()
+
+    def take_actions(self) -> list[Action]:
+        """Returns what is to be done now, in order."""
+        self._pump()
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    # Messages.
+
+    def _handle(self, node: str, message: m.Message) -> None:
+        match message:
+            case m.Grouped():
+                self._on_grouped(message)
+            case m.Heartbeat():
+                self._on_heartbeat(node, message)
+            case m.ConfigPull():
+                push = self.follower.on_pull(message)
+                if push:
+                    self._send(node, push)
+            case m.ConfigPush():
+                if self.follower.on_push(message):
+                    self._put_in_force()
+            case m.ApplyRequest() | m.OpenRequest():
+                if self.control:
+                    self.control.take(node, message)
+            case m.ApplyReply():
+                self._on_apply_reply(message)
+            case m.OpenReply(hall=hall):
+                if hall in self.registries:
+                    self.registries[hall].on_open_reply(message)
+            case m.Claim() | m.Complete() | m.Unclaim() | m.Lookup():
+                self._on_claim_command(node, message)
+            case m.ClaimReply():
+                self.entry.on_claim_reply(message)
+            case m.AnswerFetch():
+                self.entry.on_answer_fetch(node, message)
+            case m.AnswerReply():
+                self.entry.on_answer_reply(message)
+            case m.SlotGrant():
+                self.entry.on_grant(message)
+            case m.SlotRefuse():
+                self.entry.on_refuse(message)
+            case _:
+                self._on_slot_message(node, message)
+
+    def _on_grouped(self, message: m.Grouped) -> None:
+        base = base_of(message.body.group)
+        for group in self.groups:
+            if group.base == base:
+                group.on_message(message)
+
+    def _on_heartbeat(self, node: str, beat: m.Heartbeat) -> None:
+        self.peers.on_heartbeat(node, beat)
+        pull = self.follower.pull_from(beat.config_version)
+        if pull:
+            self._send(node, pull)
+        self._watch_scheduler()
+
+    def _on_claim_command(
+        self, node: str, command: m.Claim | m.Complete | m.Unclaim | m.Lookup
+    ) -> None:
+        hall = self.home_of(command.key)
+        registry = self.registries.get(hall)
+        if registry and registry.take(command):
+            return
+        # Passed on at most once, so that two boxes that take each other for
+        # the leader do not play with it.
+        leader, _ = self._leader(HALL_GROUP_PREFIX + hall)
+        is_first_hop = box_of(node) == box_of(command.owner)
+        if leader and leader != self.identity.node and is_first_hop:
+            self._send(leader, command)
+
+    def _on_slot_message(self, node: str, message: m.Message) -> None:
+        registry = self.registries.get(self.identity.hall_of(box_of(node)))
+        if registry is None or registry.scheduler is None:
+            return
+        scheduler = registry.scheduler
+        match message:
+            case m.SlotRequest():
+                scheduler.on_request(node, message)
+            case m.SlotCancel():
+                scheduler.on_cancel(node, message)
+            case m.SlotRelease():
+                scheduler.on_release(node, message)
+            case m.SlotSync():
+                registry.on_sync(node, message)
+
+    # Heartbeats.
+
+    def _beat(self, now_ms: float) -> None:
+        self._next_beat_ms = now_ms + HEARTBEAT_MS
+        groups = self.groups
+        beat = m.Heartbeat(
+            self.identity.hall,
+            self.follower.version,
+            tuple(g.base for g in groups if g.is_fresh),
+            {g.base: g.consensus.term for g in groups if g.is_leader},
+            tuple(g.join_name() for g in groups),
+            self._is_stopping,
+        )
+        for box in self._beat_targets():
+            self._actions.append(Send(box, beat))
+
+    def _beat_targets(self) -> set[str]:
+        """Returns the boxes that must hear this one.
+
+        These are the boxes of its hall and of its groups; and from the first
+        live box of each hall the control boxes, through whom configurations
+        spread from hall to hall.
+        """
+        identity = self.identity
+        targets = set(identity.boxes_in(identity.hall))
+        halls = {name: peer.hall for name, peer in identity.boxes.items()}
+        for hall in self.registries:
+            targets.update(identity.boxes_in(hall))
+        targets.update(hall_replicas(identity.hall, halls))
+        if identity.box in identity.control_boxes or self._is_first_in_hall():
+            targets.update(identity.control_boxes)
+        if identity.box in identity.control_boxes:
+            targets.update(self._first_of_each_hall())
+        targets.discard(identity.box)
+        return targets
+
+    def _is_first_in_hall(self) -> bool:
+        for box in self.identity.boxes_in(self.identity.hall):
+            if box == self.identity.box:
+                return True
+            if self.peers.is_live(box):
+                return False
+        return True
+
+    def _first_of_each_hall(self) -> set[str]:
+        firsts = set()
+        for hall in self.identity.halls:
+            boxes = self.identity.boxes_in(hall)
+            live = [box for box in boxes if self.peers.is_live(box)]
+            firsts.add((live or boxes)[0])
+        return firsts
+
+    # Configurations.
+
+    def _tick_applies(self, now_ms: float) -> None:
+        for request, one in list(self._applies.items()):
+            if now_ms - one.since_ms >= APPLY_TIMEOUT_MS:
+                self._on_apply_reply(
+                    m.ApplyReply(
+                        request,
+                        self.follower.version,
+                        NO_CONTROL.code,
+                        NO_CONTROL.detail,
+                    )
+                )
+            elif now_ms - one.asked_ms >= APPLY_RESEND_MS:
+                one.asked_ms = now_ms
+                self._send_apply(request)
+
+    def _send_apply(self, request: int) -> None:
+        cfg = self._applies[request].cfg
+        self._send_control(m.ApplyRequest(request, cfg.replaces, to_bytes(cfg)))
+
+    def _send_control(self, message: m.Message) -> None:
+        leader, _ = self._leader(CONTROL_GROUP)
+        box = box_of(leader)
+        if not leader and self.identity.control_boxes:
+            boxes = self.identity.control_boxes
+            self._next_hop += 1
+            box = boxes[self._next_hop % len(boxes)]
+        if box:
+            self._send(box, message)
+
+    def _on_apply_reply(self, reply: m.ApplyReply) -> None:
+        if self._applies.pop(reply.request, None):
+            self._actions.append(
+                Applied(reply.request, reply.version, reply.code, reply.detail)
+            )
+
+    def _take_config(self) -> None:
+        """Puts in force what the control log at this box has committed."""
+        if self.control is None:
+            return
+        log = self.control.log
+        if log.version <= self.follower.version:
+            return
+        deltas = log.deltas_after(self.follower.version)
+        if deltas is None:
+            self.follower.take_whole(log.current)
+        else:
+            self.follower.take_deltas(deltas)
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        cfg = self.follower.current
+        self.entry.set_config(cfg)
+        for registry in self.registries.values():
+            if registry.scheduler:
+                registry.scheduler.set_config(cfg)
+        self._actions.append(InForce(cfg.version))
+
+    # Routing.
+
+    def _leader(self, base: str) -> tuple[str, int]:
+        """Returns the node that leads a group, "" if unknown, and its term."""
+        for group in self.groups:
+            if group.base == base and group.consensus and group.leader:
+                return group.leader, group.consensus.term
+        return self.peers.leader_of(base)
+
+    def _watch_scheduler(self) -> None:
+        """Reports to the hall's scheduler when it is another than before."""
+        scheduler = self._leader(HALL_GROUP_PREFIX + self.identity.hall)
+        if scheduler[0] and scheduler != self._scheduler:
+            self._scheduler = scheduler
+            self._send_sync()
+
+    def _send_sync(self) -> None:
+        self._next_sync_ms = self._clock.now_ms() + SYNC_MS
+        self._to_scheduler(self.entry.sync_message())
+
+    def _to_scheduler(self, message: m.Message) -> None:
+        if self._scheduler[0]:
+            self._send(self._scheduler[0], message)
+
+    def _to_registry(self, command: m.Message) -> None:
+        hall = self.home_of(command.key)
+        leader, _ = self._leader(HALL_GROUP_PREFIX + hall)
+        box = box_of(leader)
+        if not box:
+            boxes = self.identity.boxes_in(hall)
+            self._next_hop += 1
+            box = boxes[self._next_hop % len(boxes)]
+        self._send(box, command)
+
+    def _send(self, node: str, message: m.Message) -> None:
+        """Sends to a node or box, or to this box itself."""
+        box = box_of(node)
+        if box == self.identity.box:
+            self._local.append((self.identity.node, message))
+        else:
+            self._actions.append(Send(box, message))
+
+    # The pump.
+
+    def _pump(self) -> None:
+        """Carries decisions between the parts of the box until all rest."""
+        while True:
+            while self._local:
+                node, message = self._local.popleft()
+                self._handle(node, message)
+            self._route_entry()
+            self._run_control()
+            for registry in self.registries.values():
+                self._run_registry(registry)
+            self._watch_scheduler()
+            if not self._local and not self.entry.actions:
+                return
+
+    def _route_entry(self) -> None:
+        actions = self.entry.actions
+        self.entry.actions = []
+        for action in actions:
+            match action:
+                case ToRegistry(message=message):
+                    self._to_registry(message)
+                case ToScheduler(message=message):
+                    self._to_scheduler(message)
+                case ToNode(node=node, message=message):
+                    self._send(node, message)
+                case _:
+                    self._actions.append(action)
+
+    def _run_control(self) -> None:
+        if self.control is None:
+            return
+        if not self._is_persisting:
+            ready = self.control.group.take_ready()
+            if ready:
+                self._is_persisting = True
+                grouped = self.control.group.address(ready.messages)
+                self._actions.append(
+                    Persist(ready.records, grouped, ready.last_index)
+                )
+        self.control.collect_results()
+        self._take_config()
+        self._empty(self.control.outbox)
+
+    def _run_registry(self, registry: Registry) -> None:
+        registry.flush()
+        group = registry.group
+        while ready := group.take_ready():
+            for message in group.address(ready.messages):
+                self._actions.append(Send(box_of(message.to), message))
+            if group.consensus:
+                group.consensus.on_persisted(ready.last_index)
+        registry.collect_results()
+        if registry.opening:
+            self._send_control(registry.opening)
+            registry.opening = None
+        if registry.keep_scheduler(self.cfg, self._workers):
+            self._next_beat_ms = 0.0
+        registry.assign()
+        self._empty(registry.outbox)
+
+    def _empty(self, outbox: list[tuple[str, m.Message]]) -> None:
+        for node, message in outbox:
+            self._send(node, message)
+        outbox.clear()
--- /dev/null
+++ b/packages/cli/src/clayfield/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The clayfield command line, for operators and callers."""
--- /dev/null
+++ b/packages/config/src/clayfield/config/delta.py
@@ -0,0 +1,75 @@
+"""What changed between two configurations, small enough for every box."""
+
+import msgspec
+
+from clayfield.config.model import Configuration, from_bytes, to_bytes
+
+TABLES = ("halls", "classes", "services", "jobs", "members", "operators")
+
+
+class Delta(msgspec.Struct, frozen=True, array_like=True):
+    """The change from one version to the next.
+
+    Attributes:
+        version: the version reached.
+        put: by path (`table/name`, or `limits`) the new value in JSON.
+        drop: the paths that are gone.
+    """
+
+    version: int
+    put: dict[str, msgspec.Raw]
+    drop: list[str]
+
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+_decoder = msgspec.json.Decoder(Delta)
+
+
+def _flatten(configuration: Configuration) -> dict[str, bytes]:
+    flat = {"limits": _encoder.encode(configuration.limits)}
+    for table in TABLES:
+        for name, value in getattr(configuration, table).items():
+            flat[f"{table}/{name}"] = _encoder.encode(value)
+    return flat
+
+
+def diff(before: Configuration, after: Configuration) -> bytes:
+    """Returns the encoded change from `before` to `after`."""
+    old = _flatten(before)
+    new = _flatten(after)
+    put = {
+        path: msgspec.Raw(value)
+        for path, value in new.items()
+        if old.get(path) != value
+    }
+    drop = [path for path in old if path not in new]
+    return _encoder.encode(Delta(after.version, put, drop))
+
+
+def version_of(delta: bytes) -> int:
+    """Returns the version that an encoded change reaches."""
+    return _decoder.decode(delta).version
+
+
+def patch(before: Configuration, delta: bytes) -> Configuration:
+    """Returns the configuration that a change leads to.
+
+    Raises:
+        ValueError: the change does not start from `before`.
+    """
+    change = _decoder.decode(delta)
+    if change.version != before.version + 1:
+        raise ValueError(f"version {change.version} follows {before.version}")
+    tree = msgspec.json.decode(to_bytes(before))
+    tree["replaces"] = change.version - 1
+    for path in change.drop:
+        table, _, name = path.partition("/")
+        del tree[table][name]
+    for path, value in change.put.items():
+        table, _, name = path.partition("/")
+        decoded = msgspec.json.decode(value)
+        if name:
+            tree[table][name] = decoded
+        else:
+            tree[table] = decoded
+    return from_bytes(msgspec.json.encode(tree))
--- /dev/null
+++ b/packages/daemon/src/clayfield/daemon/main.py
@@ -0,0 +1,66 @@
+"""The clayfieldd command: one box of the system."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+
+from clayfield.base import ClayfieldError
+from clayfield.base.settings import add_flags, read_settings
+from clayfield.daemon.settings import SETTINGS, DaemonSettings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_NOT_DRAINED = 3
+
+
+def main() -> None:
+    """Reads the settings and runs the box until it is stopped."""
+    parser = argparse.ArgumentParser(
+        prog="clayfieldd",
+        description="Runs one clayfield box. SIGTERM stops it as planned;"
+        " SIGHUP reads the TLS files again.",
+        epilog="Exit codes: 0 stopped with nothing cut off; 1 failed; 2 bad"
+        " settings; 3 the planned stop ran out of time.",
+    )
+    add_flags(parser, SETTINGS)
+    flags = parser.parse_args()
+    try:
+        cfg = DaemonSettings(read_settings(SETTINGS, flags))
+    except ClayfieldError as exc:
+        print(f"clayfieldd: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(_run(cfg))
+
+
+def _run(cfg: DaemonSettings) -> int:
+    # The reactor must be in place before anything else imports twisted's.
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install(loop)
+    from clayfield.base import events
+    from clayfield.daemon.process import Process
+
+    events.set_up(cfg.log_level)
+    incarnation = time.time_ns()
+    try:
+        process = Process(cfg, incarnation)
+    except ClayfieldError as exc:
+        print(f"clayfieldd: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+    loop.add_signal_handler(signal.SIGTERM, process.stop)
+    loop.add_signal_handler(signal.SIGINT, process.stop)
+    loop.add_signal_handler(signal.SIGHUP, process.reload)
+    process.run()
+    if process.failure:
+        print(f"clayfieldd: {process.failure}", file=sys.stderr)
+        return EXIT_FAILED
+    return EXIT_OK if process.is_drained else EXIT_NOT_DRAINED
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/src/clayfield/daemon/process.py
@@ -0,0 +1,155 @@
+"""Puts a box together: its runtime, its ports and its end."""
+
+import asyncio
+import random
+
+from twisted.internet import defer, interfaces, reactor
+from twisted.web import resource
+
+from clayfield.base import MonotonicClock
+from clayfield.base.events import Event, emit
+from clayfield.box import Identity
+from clayfield.daemon import callers, operators
+from clayfield.daemon.certificates import Certificates
+from clayfield.daemon.http import LimitedSite, RequestLimits
+from clayfield.daemon.runtime import Runtime
+from clayfield.daemon.settings import DaemonSettings
+from clayfield.daemon.store import Store
+from clayfield.daemon.tracing import Tracing
+
+
+class Process:
+    """The process of one box.
+
+    Attributes:
+        failure: why it could not run, or "".
+        is_drained: whether its planned stop cut nothing off.
+    """
+
+    def __init__(self, cfg: DaemonSettings, incarnation: int):
+        """Opens the data folder.
+
+        Raises:
+            ClayfieldError: the folder or a certificate cannot be used.
+        """
+        self.failure = ""
+        self.is_drained = False
+        self._cfg = cfg
+        store = Store(cfg.data_folder) if cfg.data_folder else None
+        identity = Identity(
+            cfg.box, incarnation, cfg.boxes, store.made if store else 0
+        )
+        self._identity = identity
+        self._certificates = Certificates(cfg.tls_key, cfg.tls_certificate)
+        self._runtime = Runtime(
+            reactor, cfg, identity, store, _make_tracing(cfg)
+        )
+        self._ports: list[interfaces.IListeningPort] = []
+        self._is_stopping = False
+
+    def run(self) -> None:
+        """Runs until stopped."""
+        reactor.callWhenRunning(self._start)
+        reactor.run(installSignalHandlers=False)
+
+    def _start(self) -> None:
+        starting = defer.Deferred.fromFuture(
+            asyncio.ensure_future(self._runtime.start())
+        )
+        starting.addCallback(lambda _: self._listen())
+        starting.addErrback(self._on_failure)
+
+    def _on_failure(self, failure: object) -> None:
+        self.failure = failure.getErrorMessage()
+        reactor.stop()
+
+    def _listen(self) -> None:
+        core = self._runtime.core
+        limits = RequestLimits(
+            reactor,
+            lambda: core.cfg.limits.body_bytes,
+            self._cfg.request_ms,
+            self._cfg.header_bytes,
+        )
+        submissions = callers.make_root(
+            callers.Callers(core, self._runtime.tracing, self._runtime.kick)
+        )
+        callers_root = resource.Resource()
+        versioned = resource.Resource()
+        callers_root.putChild(b"v1", versioned)
+        versioned.putChild(b"submissions", submissions)
+        operators.add_health(callers_root, core)
+        operators_root = operators.make_root(
+            self._runtime.operators,
+            self._runtime.metrics,
+            submissions,
+        )
+        self._listen_on(self._cfg.callers, callers_root, limits)
+        self._listen_on(self._cfg.operators, operators_root, limits)
+        emit(
+            Event.STARTED,
+            box=self._identity.box,
+            hall=self._identity.hall,
+            incarnation=self._identity.incarnation,
+            callers=_name_of(self._ports[0]),
+            peers=self._identity.boxes[self._identity.box].address,
+        )
+
+    def _listen_on(
+        self,
+        place: tuple[str, int],
+        root: resource.Resource,
+        limits: RequestLimits,
+    ) -> None:
+        host, port = place
+        site = LimitedSite(root, limits)
+        if self._certificates.is_used:
+            listening = reactor.listenSSL(
+                port, site, self._certificates, interface=host
+            )
+        else:
+            listening = reactor.listenTCP(port, site, interface=host)
+        self._ports.append(listening)
+
+    def reload(self) -> None:
+        """Reads the certificates again."""
+        self._certificates.reload()
+
+    def stop(self) -> None:
+        """Begins a planned stop."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        defer.ensureDeferred(self._stop()).addErrback(self._on_failure)
+
+    async def _stop(self) -> None:
+        self.is_drained = await self._runtime.drain()
+        for port in self._ports:
+            await defer.maybeDeferred(port.stopListening)
+        await defer.Deferred.fromFuture(
+            asyncio.ensure_future(self._runtime.stop())
+        )
+        emit(Event.STOPPED, drained=self.is_drained)
+        reactor.stop()
+
+
+def _name_of(port: interfaces.IListeningPort) -> str:
+    host = port.getHost()
+    return f"{host.host}:{host.port}"
+
+
+def _make_tracing(cfg: DaemonSettings) -> Tracing:
+    exporter = None
+    if cfg.trace_endpoint:
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
+        exporter = OTLPSpanExporter(endpoint=cfg.trace_endpoint)
+    return Tracing(
+        MonotonicClock(),
+        cfg.box,
+        exporter,
+        cfg.trace_percent,
+        random.Random(),
+    )
--- /dev/null
+++ b/packages/testbed/src/clayfield/testbed/box.py
@@ -0,0 +1,241 @@
+"""One box of a site: the real decisions on a fake network and disk."""
+
+import random
+from collections.abc import Callable
+
+from clayfield.box import (
+    Applied,
+    BoxCore,
+    Identity,
+    InForce,
+    PeerAddress,
+    Persist,
+    Send,
+)
+from clayfield.config import to_bytes
+from clayfield.dispatch import Answer, StartTask, TaskEnd
+from clayfield.state import Record, Timing, replay
+from clayfield.state.membership import box_of
+from clayfield.testbed.events import EventQueue
+from clayfield.testbed.ledger import Ledger
+from clayfield.testbed.network import Network
+from clayfield.testbed.workers import FakeWorker
+
+TICK_MS = 20.0
+WORKER_DELAY_MS = 0.2
+
+
+class FakeDisk:
+    """A disk that keeps what was synced.
+
+    Attributes:
+        made: when the data folder was made.
+        records: what survives a crash.
+        is_lying: reports a sync before it is done.
+    """
+
+    def __init__(self, made: int):
+        self.made = made
+        self.records: list[Record] = []
+        self.is_lying = False
+
+
+class FakeBox:
+    """A box that can crash, freeze, stop and come back.
+
+    Attributes:
+        name: the box's name.
+        core: its decisions, None while it is down.
+        disk: its disk, None for a box without one.
+        log_of_versions: versions in force since its start.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        addresses: dict[str, PeerAddress],
+        events: EventQueue,
+        network: Network,
+        ledger: Ledger,
+        rng: random.Random,
+        workers: dict[str, FakeWorker],
+        run_ms_of: Callable[[str, int], float],
+        sync_ms: float,
+        timing: Timing | None = None,
+        make_core: type[BoxCore] = BoxCore,
+    ):
+        self.name = name
+        self.core: BoxCore | None = None
+        self.disk = FakeDisk(1) if addresses[name].is_control else None
+        self.incarnation = 0
+        self.is_frozen = False
+        self.boxes: dict[str, FakeBox] = {}
+        self.applied: dict[int, Applied] = {}
+        self._addresses = addresses
+        self._events = events
+        self._network = network
+        self._ledger = ledger
+        self._rng = rng
+        self._workers = workers
+        self._run_ms_of = run_ms_of
+        self._sync_ms = sync_ms
+        self._timing = timing
+        self._make_core = make_core
+        self._held_back: list[Callable[[], None]] = []
+
+    @property
+    def node(self) -> str:
+        """The present incarnation."""
+        return f"{self.name}/{self.incarnation}"
+
+    def start(self) -> None:
+        """Starts the box's process."""
+        self.incarnation += 1
+        stored = replay(self.disk.records) if self.disk else None
+        identity = Identity(
+            self.name,
+            self.incarnation,
+            self._addresses,
+            self.disk.made if self.disk else 0,
+        )
+        self.core = self._make_core(
+            identity, self._events.clock, self._rng, stored, self._timing
+        )
+        self._tick(self.incarnation)
+
+    def crash(self) -> None:
+        """Ends the process at once; what was not synced is gone."""
+        self.core = None
+        self.is_frozen = False
+        self._held_back.clear()
+
+    def lose_disk(self) -> None:
+        """Replaces the disk of a box that is down by an empty one."""
+        self.disk = FakeDisk(self.disk.made + 1)
+
+    def freeze(self) -> None:
+        """Stops the process without ending it."""
+        self.is_frozen = True
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on with all that has come meanwhile."""
+        self.is_frozen = False
+        held_back = self._held_back
+        self._held_back = []
+        for act in held_back:
+            act()
+
+    def do(self, act: Callable[[BoxCore], None]) -> None:
+        """Lets something happen to the box, if it is up."""
+        incarnation = self.incarnation
+        if self.core is None:
+            return
+        if self.is_frozen:
+            self._held_back.append(lambda: self._do_as(incarnation, act))
+            return
+        act(self.core)
+        self._carry_out()
+
+    def _do_as(self, incarnation: int, act: Callable[[BoxCore], None]) -> None:
+        if self.core is not None and incarnation == self.incarnation:
+            self.do(act)
+
+    def _tick(self, incarnation: int) -> None:
+        if self.core is None or incarnation != self.incarnation:
+            return
+        if not self.is_frozen:
+            self.do(lambda core: core.tick())
+        self._events.after(TICK_MS, lambda: self._tick(incarnation))
+
+    def _carry_out(self) -> None:
+        for action in self.core.take_actions():
+            match action:
+                case Send(box=box, message=message):
+                    self._send(box, message)
+                case Persist():
+                    self._persist(action)
+                case StartTask():
+                    self._start_task(action)
+                case Answer(waiter=waiter, outcome=outcome):
+                    waiter(outcome)
+                case InForce(version=version):
+                    self._on_in_force(version)
+                case Applied(request=request):
+                    self.applied[request] = action
+
+    def _send(self, box: str, message: object) -> None:
+        node = self.node
+        peer = self.boxes[box]
+
+        def deliver() -> None:
+            peer.do(lambda core: core.on_message(node, message))
+
+        self._network.send(self.name, box, deliver)
+
+    def _persist(self, action: Persist) -> None:
+        incarnation = self.incarnation
+        if self.disk.is_lying:
+            # The records reach the disk later than their messages leave.
+            disk = self.disk
+            self._do_as(incarnation, lambda core: self._after_sync(action))
+            self._events.after(
+                50.0, lambda: self._write_late(incarnation, disk, action)
+            )
+            return
+        self._events.after(
+            self._sync_ms, lambda: self._on_synced(incarnation, action)
+        )
+
+    def _write_late(
+        self, incarnation: int, disk: FakeDisk, action: Persist
+    ) -> None:
+        if self.core is not None and incarnation == self.incarnation:
+            disk.records.extend(action.records)
+
+    def _on_synced(self, incarnation: int, action: Persist) -> None:
+        if self.core is None or incarnation != self.incarnation:
+            return
+        self.disk.records.extend(action.records)
+        self._do_as(incarnation, lambda core: self._after_sync(action))
+
+    def _after_sync(self, action: Persist) -> None:
+        for message in action.messages:
+            self._send(box_of(message.to), message)
+        self.core.on_persisted(action.last_index)
+
+    def _on_in_force(self, version: int) -> None:
+        digest = to_bytes(self.core.cfg)
+        self._ledger.on_in_force(self.node, version, digest)
+
+    def _start_task(self, action: StartTask) -> None:
+        core = self.core
+        incarnation = self.incarnation
+        sub = core.entry.get(action.submission)
+        worker = self._workers[action.worker]
+        key = sub.key
+        is_open = [True]
+
+        def report(end: TaskEnd, answer: bytes, took_ms: float) -> None:
+            delay_ms = WORKER_DELAY_MS
+            if self._network.is_cut(self.name, worker.info.name):
+                return
+            self._events.after(delay_ms, lambda: finish(end, answer, took_ms))
+
+        def finish(end: TaskEnd, answer: bytes, took_ms: float) -> None:
+            if is_open[0]:
+                is_open[0] = False
+                self._do_as(
+                    incarnation,
+                    lambda c: c.on_task_end(action.grant, end, answer, took_ms),
+                )
+
+        def arrive() -> None:
+            if not self._network.is_cut(self.name, worker.info.name):
+                run_ms = self._run_ms_of(key, action.task)
+                worker.start(key, action.task, action.payload, run_ms, report)
+
+        self._events.after(WORKER_DELAY_MS, arrive)
+        self._events.after(
+            action.timeout_ms,
+            lambda: finish(TaskEnd.LOST, b"", action.timeout_ms),
+        )
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,30 @@
+"""The whole path through one hall's boxes, on a manual clock."""
+
+import msgspec
+import pytest
+
+from clayfield.testbed import Site, SiteShape
+
+HALL = {"h1": 3}
+
+
+@pytest.mark.parametrize(
+    ("priority", "run_ms"),
+    [
+        ("cancel", [50.0]),
+        ("dear", [100.0, 200.0, 50.0]),
+        ("cheap", [60.0] * 40),
+    ],
+)
+def test_each_box_answers_whole_and_in_task_order(priority, run_ms):
+    site = Site(SiteShape(HALL), seed=1)
+    site.settle()
+    got = []
+    for box in site.boxes:
+        site.submit(box, f"key-{box}", priority, run_ms, got.append)
+    site.run(3000)
+    assert [outcome.status for outcome in got] == [200] * 3
+    for outcome in got:
+        answers = msgspec.json.decode(outcome.body)["answers"]
+        assert [answer[1] for answer in answers] == list(range(len(run_ms)))
+    assert all(box.core.entry.is_idle for box in site.boxes.values())
