Carry messages between boxes on twisted streams instead of grpc

Cause: of about 12 ms of fixed cost a job, most was grpc.aio: each of a dozen messages a job costs 0.55 ms CPU on its two ends and about 1 ms of latency. Ruled out: the decisions themselves (0.9% of a core idle, under a profiler).

Conclusion: grpc does not fit this path; docs/design/peers.md. Idle CPU is still about 4% of a core, over the budget of 3%; next.

--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -48,6 +48,8 @@
 APPLY_RESEND_MS = 400.0
 APPLY_TIMEOUT_MS = 5000.0
 WITNESS_PATIENCE = 3.0
+# Configurations may wait longer for a leader than claims.
+CONTROL_TIMING = Timing(election_ms=1200.0, heartbeat_ms=300.0)
 
 
 class _Apply:
@@ -80,6 +82,7 @@
         rng: random.Random,
         stored: Replayed | None = None,
         timing: Timing | None = None,
+        control_timing: Timing | None = None,
     ):
         """Starts a box.
 
@@ -88,7 +91,8 @@
             clock: the time.
             rng: spreads election times.
             stored: what its data folder holds, None without one.
-            timing: the times of its groups.
+            timing: the times of the halls' groups.
+            control_timing: the times of the control log.
         """
         self.identity = identity
         self.peers = PeerTable(clock)
@@ -97,6 +101,7 @@
         self._clock = clock
         self._rng = rng
         self._timing = timing or Timing()
+        self._control_timing = control_timing or CONTROL_TIMING
         self._actions: list[Action] = []
         self._local: collections.deque[tuple[str, m.Message]] = (
             collections.deque()
@@ -128,7 +133,7 @@
             ),
             self._clock,
             self._rng,
-            self._timing,
+            self._control_timing,
             stored=stored,
         )
         return Control(group)
--- a/packages/daemon/src/clayfield/daemon/main.py
+++ b/packages/daemon/src/clayfield/daemon/main.py
@@ -1,8 +1,6 @@
 """The clayfieldd command: one box of the system."""
 
 import argparse
-import asyncio
-import signal
 import sys
 import time
 
@@ -36,12 +34,6 @@
 
 
 def _run(cfg: DaemonSettings) -> int:
-    # The reactor must be in place before anything else imports twisted's.
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    from twisted.internet import asyncioreactor
-
-    asyncioreactor.install(loop)
     from clayfield.base import events
     from clayfield.daemon.process import Process
 
@@ -52,9 +44,6 @@
     except ClayfieldError as exc:
         print(f"clayfieldd: {exc}", file=sys.stderr)
         return EXIT_FAILED
-    loop.add_signal_handler(signal.SIGTERM, process.stop)
-    loop.add_signal_handler(signal.SIGINT, process.stop)
-    loop.add_signal_handler(signal.SIGHUP, process.reload)
     process.run()
     if process.failure:
         print(f"clayfieldd: {process.failure}", file=sys.stderr)
--- a/packages/daemon/src/clayfield/daemon/peers.py
+++ b/packages/daemon/src/clayfield/daemon/peers.py
@@ -1,254 +1,296 @@
-"""Streams of frames between boxes, over grpc.
+"""Streams of frames between boxes, over TCP.
 
 A box opens one stream to each peer it talks to and sends on it; it receives
 on the streams that peers open. What cannot be sent is dropped: every decision
-that needs an answer asks again.
+that needs an answer asks again. The receiving side acknowledges from time to
+time, so that the sender of a stream that is cut in silence opens another.
+
+docs/design/peers.md has the measurements that speak against grpc here.
 """
 
-import asyncio
-import pathlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
-import grpc
-import grpc.aio
+from twisted.internet import error, interfaces, protocol, task
+from twisted.internet.endpoints import TCP4ClientEndpoint, wrapClientTLS
+from twisted.protocols.basic import Int32StringReceiver
+from twisted.python import failure
 
 from clayfield.base import ClayfieldError, Kind
 from clayfield.base.events import Event, emit
+from clayfield.base.settings import address
 from clayfield.box import Identity
+from clayfield.daemon.peertls import PeerFiles, name_in
 from clayfield.state.membership import node_name
 from clayfield.wire import (
     MAX_FRAME_BYTES,
-    PROTOCOL_VERSION,
-    check_peer,
+    Greeting,
+    check_greeting,
     decode,
+    decode_greeting,
     encode,
+    encode_greeting,
 )
-from clayfield.wire import frame_pb2 as pb
-from clayfield.wire import frame_pb2_grpc as pb_grpc
 from clayfield.wire.messages import Message
 
 MAX_QUEUED = 20_000
 FRAME_MESSAGES = 2000
+CONNECT_TIMEOUT_S = 2.0
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
-OPTIONS = (
-    ("grpc.max_receive_message_length", MAX_FRAME_BYTES + 4096),
-    ("grpc.max_send_message_length", MAX_FRAME_BYTES + 4096),
-    ("grpc.keepalive_time_ms", 5000),
-    ("grpc.keepalive_timeout_ms", 2000),
-    ("grpc.keepalive_permit_without_calls", 1),
-    ("grpc.http2.max_pings_without_data", 0),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.enable_http_proxy", 0),
-)
+ACK_S = 0.5
+SILENCE_S = 2.5
+ACK = b""
 
 OnMessages = Callable[[str, list[Message]], None]
 
 
-class PeerFiles:
-    """The files for mutual TLS between boxes."""
+class _Sender(Int32StringReceiver):
+    """The sending end of a stream."""
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(self, link: "Link"):
+        self._link = link
+
+    def connectionMade(self) -> None:  # noqa: N802 - twisted's name
+        """Greets the peer."""
+        self.transport.setTcpNoDelay(True)
+        self.sendString(encode_greeting(self._link.greeting))
+        self._link.on_open(self)
 
-    __slots__ = ("authority", "certificate", "key")
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Takes an acknowledgement."""
+        self._link.on_ack()
 
-    def __init__(self, key: str, certificate: str, authority: str):
-        self.key = pathlib.Path(key).read_bytes()
-        self.certificate = pathlib.Path(certificate).read_bytes()
-        self.authority = pathlib.Path(authority).read_bytes()
+    def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
+        """Learns that the stream broke."""
+        self._link.on_closed(reason)
 
 
 class Link:
-    """The stream to one peer."""
+    """The stream to one peer.
+
+    Attributes:
+        greeting: what it begins with.
+    """
 
     def __init__(
         self,
+        reactor: interfaces.IReactorTCP,
         peer: str,
-        address: str,
-        cluster: str,
-        identity: Identity,
+        place: str,
+        greeting: Greeting,
         files: PeerFiles | None,
     ):
+        self.greeting = greeting
+        self._reactor = reactor
         self._peer = peer
-        self._address = address
-        self._cluster = cluster
-        self._identity = identity
-        self._files = files
+        host, port = address(place)
+        endpoint = TCP4ClientEndpoint(
+            reactor, host, port, timeout=CONNECT_TIMEOUT_S
+        )
+        if files:
+            endpoint = wrapClientTLS(files.for_client(peer), endpoint)
+        self._endpoint = endpoint
         self._queue: list[Message] = []
-        self._wake = asyncio.Event()
-        self._task: asyncio.Task | None = None
+        self._sender: _Sender | None = None
+        self._is_flush_due = False
+        self._is_stopped = False
+        self._acked_s = 0.0
+        self._pause_s = FIRST_PAUSE_S
 
     def start(self) -> None:
         """Begins to connect."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        factory = protocol.Factory.forProtocol(lambda: _Sender(self))
+        connecting = self._endpoint.connect(factory)
+        connecting.addErrback(self._on_refused)
 
     def stop(self) -> None:
-        """Ends the stream."""
-        if self._task:
-            self._task.cancel()
+        """Sends what is queued and ends the stream."""
+        self._is_stopped = True
+        if self._sender:
+            self._flush()
+            self._sender.transport.loseConnection()
 
     def send(self, message: Message) -> None:
-        """Queues a message for the next frame."""
-        if len(self._queue) < MAX_QUEUED:
-            self._queue.append(message)
-            self._wake.set()
-
-    async def _run(self) -> None:
-        pause_s = FIRST_PAUSE_S
-        while True:
-            try:
-                async with self._channel() as channel:
-                    call = pb_grpc.PeerStub(channel).Exchange()
-                    await self._pass_on(call)
-            except grpc.aio.AioRpcError as exc:
-                emit(Event.PEER_LOST, peer=self._peer, error=str(exc.details()))
-            except asyncio.InvalidStateError as exc:
-                emit(Event.PEER_LOST, peer=self._peer, error=str(exc))
-            self._queue.clear()
-            await asyncio.sleep(pause_s)
-            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
-
-    def _channel(self) -> grpc.aio.Channel:
-        if self._files is None:
-            return grpc.aio.insecure_channel(self._address, OPTIONS)
-        credentials = grpc.ssl_channel_credentials(
-            self._files.authority, self._files.key, self._files.certificate
-        )
-        options = (
-            *OPTIONS,
-            ("grpc.ssl_target_name_override", self._peer),
-        )
-        return grpc.aio.secure_channel(self._address, credentials, options)
-
-    async def _pass_on(self, call: grpc.aio.StreamUnaryCall) -> None:
-        await call.wait_for_connection()
-        emit(Event.PEER_CONNECTED, peer=self._peer)
-        while not call.done():
-            await self._wait_for_messages()
+        """Queues a message for the frame of this turn of the loop."""
+        if self._sender is None or len(self._queue) >= MAX_QUEUED:
+            return
+        self._queue.append(message)
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            self._reactor.callLater(0, self._flush)
+
+    def _flush(self) -> None:
+        self._is_flush_due = False
+        while self._queue and self._sender:
             batch = self._queue[:FRAME_MESSAGES]
             del self._queue[:FRAME_MESSAGES]
-            if not self._queue:
-                self._wake.clear()
-            if batch:
-                await call.write(self._frame(batch))
-        await call
-
-    async def _wait_for_messages(self) -> None:
-        await self._wake.wait()
-
-    def _frame(self, batch: list[Message]) -> pb.Frame:
-        return pb.Frame(
-            version=PROTOCOL_VERSION,
-            cluster=self._cluster,
-            box=self._identity.box,
-            incarnation=self._identity.incarnation,
-            hall=self._identity.hall,
-            messages=encode(batch),
-        )
-
+            self._sender.sendString(encode(batch))
 
-class _Servicer(pb_grpc.PeerServicer):
-    """Takes the frames that peers send."""
+    def on_open(self, sender: _Sender) -> None:
+        """Learns that the stream is open."""
+        self._sender = sender
+        self._acked_s = self._reactor.seconds()
+        self._pause_s = FIRST_PAUSE_S
+        emit(Event.PEER_CONNECTED, peer=self._peer)
 
-    def __init__(
-        self, cluster: str, identity: Identity, on_messages: OnMessages
-    ):
-        self._cluster = cluster
-        self._identity = identity
-        self._on_messages = on_messages
+    def on_ack(self) -> None:
+        """Learns that the peer still reads."""
+        self._acked_s = self._reactor.seconds()
+
+    def on_closed(self, reason: failure.Failure) -> None:
+        """Learns that the stream broke, and opens another."""
+        self._sender = None
+        self._queue.clear()
+        if not self._is_stopped:
+            emit(
+                Event.PEER_LOST,
+                peer=self._peer,
+                error=reason.getErrorMessage(),
+            )
+            self._try_again()
+
+    def _on_refused(self, reason: failure.Failure) -> None:
+        reason.trap(error.ConnectError, error.ConnectionClosed, OSError)
+        if not self._is_stopped:
+            self._try_again()
+
+    def _try_again(self) -> None:
+        self._reactor.callLater(self._pause_s, self._start_unless_stopped)
+        self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+
+    def _start_unless_stopped(self) -> None:
+        if not self._is_stopped:
+            self.start()
+
+    def check(self) -> None:
+        """Ends a stream whose peer has read nothing for too long."""
+        silence_s = self._reactor.seconds() - self._acked_s
+        if self._sender and silence_s > SILENCE_S:
+            self._sender.transport.abortConnection()
+
+
+class _Receiver(Int32StringReceiver):
+    """The receiving end of a stream."""
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(self, peers: "Peers"):
+        self._peers = peers
+        self._node = ""
+        self._box = ""
+        self._acked_s = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802 - twisted's name
+        """Prepares for frames."""
+        self.transport.setTcpNoDelay(True)
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Takes a frame; one that is bad ends the stream."""
+        try:
+            if self._node:
+                self._peers.on_messages(self._node, decode(string))
+            else:
+                self._greet(string)
+        except ClayfieldError as exc:
+            emit(Event.FRAME_REFUSED, peer=self._box, error=str(exc))
+            self.transport.abortConnection()
+            return
+        now_s = self._peers.reactor.seconds()
+        if now_s - self._acked_s >= ACK_S:
+            self._acked_s = now_s
+            self.sendString(ACK)
+
+    def _greet(self, string: bytes) -> None:
+        greeting = decode_greeting(string)
+        self._box = greeting.box
+        check_greeting(greeting, self._peers.cluster)
+        if greeting.box not in self._peers.identity.boxes:
+            raise ClayfieldError(
+                Kind.BAD_FRAME, f"{greeting.box!r} is no box of --boxes."
+            )
+        certified = name_in(self.transport)
+        if certified not in (None, greeting.box):
+            raise ClayfieldError(
+                Kind.BAD_FRAME,
+                f"the certificate is {certified!r}'s, not {greeting.box!r}'s.",
+            )
+        self._node = node_name(greeting.box, greeting.incarnation)
 
-    async def Exchange(  # noqa: N802 - the name that grpc generates
-        self,
-        request_iterator: AsyncIterator[pb.Frame],
-        context: grpc.aio.ServicerContext,
-    ) -> pb.Frame:
-        """Reads one peer's stream until it ends or is refused."""
-        async for frame in request_iterator:
-            try:
-                self._take(frame, context)
-            except ClayfieldError as exc:
-                emit(Event.FRAME_REFUSED, peer=frame.box, error=str(exc))
-                await context.abort(
-                    grpc.StatusCode.FAILED_PRECONDITION, str(exc)
-                )
-        return pb.Frame()
-
-    def _take(self, frame: pb.Frame, context: grpc.aio.ServicerContext) -> None:
-        check_peer(frame.cluster, frame.version, self._cluster)
-        check_name(frame.box, self._identity, context.auth_context())
-        self._on_messages(
-            node_name(frame.box, frame.incarnation), decode(frame.messages)
-        )
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Refuses a frame that is too large."""
+        emit(Event.FRAME_REFUSED, peer=self._box, error=f"{length} bytes")
+        self.transport.abortConnection()
 
 
-def check_name(
-    box: str, identity: Identity, auth: dict[str, list[bytes]]
-) -> None:
-    """Checks that a peer is a box of the settings, and who it says it is.
+class Peers:
+    """All streams of this box.
 
-    Raises:
-        ClayfieldError: of kind BAD_FRAME.
+    Attributes:
+        reactor: of twisted.
+        cluster: the name that all boxes share.
+        identity: this box.
+        on_messages: called with a node and its messages.
     """
-    if box not in identity.boxes:
-        raise ClayfieldError(Kind.BAD_FRAME, f"{box!r} is no box of --boxes.")
-    names = auth.get("x509_subject_alternative_name")
-    if names is not None and box.encode() not in names:
-        raise ClayfieldError(
-            Kind.BAD_FRAME, f"the certificate is for {names}, not {box!r}."
-        )
-
-
-class Peers:
-    """All streams of this box."""
 
     def __init__(
         self,
+        reactor: interfaces.IReactorTCP,
         cluster: str,
         identity: Identity,
         on_messages: OnMessages,
         files: PeerFiles | None,
     ):
-        self._identity = identity
+        self.reactor = reactor
+        self.cluster = cluster
+        self.identity = identity
+        self.on_messages = on_messages
         self._files = files
-        self._servicer = _Servicer(cluster, identity, on_messages)
-        self._server: grpc.aio.Server | None = None
+        self._port: interfaces.IListeningPort | None = None
+        greeting = Greeting(
+            cluster, identity.box, identity.incarnation, identity.hall
+        )
         self._links = {
-            name: Link(name, peer.address, cluster, identity, files)
+            name: Link(reactor, name, peer.address, greeting, files)
             for name, peer in identity.boxes.items()
             if name != identity.box
         }
+        self._checking = task.LoopingCall(self._check)
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Listens and connects.
 
         Raises:
-            RuntimeError: the address is taken.
+            twisted.internet.error.CannotListenError: the address is taken.
         """
-        own = self._identity.boxes[self._identity.box]
-        self._server = grpc.aio.server(options=OPTIONS)
-        pb_grpc.add_PeerServicer_to_server(self._servicer, self._server)
-        if self._files is None:
-            self._server.add_insecure_port(own.address)
-        else:
-            credentials = grpc.ssl_server_credentials(
-                [(self._files.key, self._files.certificate)],
-                self._files.authority,
-                require_client_auth=True,
+        host, port = address(self.identity.boxes[self.identity.box].address)
+        factory = protocol.Factory.forProtocol(lambda: _Receiver(self))
+        if self._files:
+            self._port = self.reactor.listenSSL(
+                port, factory, self._files.for_server(), interface=host
             )
-            self._server.add_secure_port(own.address, credentials)
-        await self._server.start()
+        else:
+            self._port = self.reactor.listenTCP(port, factory, interface=host)
         for link in self._links.values():
             link.start()
+        self._checking.start(ACK_S, now=False)
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Ends all streams."""
+        if self._checking.running:
+            self._checking.stop()
         for link in self._links.values():
             link.stop()
-        if self._server:
-            await self._server.stop(0)
+        if self._port:
+            self._port.stopListening()
 
     def send(self, box: str, message: Message) -> None:
         """Sends a message, as far as the peer can be reached."""
         link = self._links.get(box)
         if link:
             link.send(message)
+
+    def _check(self) -> None:
+        for link in self._links.values():
+            link.check()
--- a/packages/daemon/src/clayfield/daemon/process.py
+++ b/packages/daemon/src/clayfield/daemon/process.py
@@ -1,9 +1,10 @@
 """Puts a box together: its runtime, its ports and its end."""
 
-import asyncio
 import random
+import signal
+from collections.abc import Callable
 
-from twisted.internet import defer, interfaces, reactor
+from twisted.internet import defer, error, interfaces, reactor
 from twisted.web import resource
 
 from clayfield.base import MonotonicClock
@@ -48,16 +49,20 @@
         self._is_stopping = False
 
     def run(self) -> None:
-        """Runs until stopped."""
+        """Runs until stopped, by SIGTERM as planned."""
         reactor.callWhenRunning(self._start)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: _from_signal(self.stop))
+        signal.signal(signal.SIGHUP, lambda *_: _from_signal(self.reload))
         reactor.run(installSignalHandlers=False)
 
     def _start(self) -> None:
-        starting = defer.Deferred.fromFuture(
-            asyncio.ensure_future(self._runtime.start())
-        )
-        starting.addCallback(lambda _: self._listen())
-        starting.addErrback(self._on_failure)
+        try:
+            self._runtime.start()
+            self._listen()
+        except error.CannotListenError as exc:
+            self.failure = str(exc)
+            reactor.stop()
 
     def _on_failure(self, failure: object) -> None:
         self.failure = failure.getErrorMessage()
@@ -126,13 +131,15 @@
         self.is_drained = await self._runtime.drain()
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
-        await defer.Deferred.fromFuture(
-            asyncio.ensure_future(self._runtime.stop())
-        )
+        self._runtime.stop()
         emit(Event.STOPPED, drained=self.is_drained)
         reactor.stop()
 
 
+def _from_signal(act: Callable[[], None]) -> None:
+    reactor.callFromThread(act)
+
+
 def _name_of(port: interfaces.IListeningPort) -> str:
     host = port.getHost()
     return f"{host.host}:{host.port}"
--- a/packages/daemon/src/clayfield/daemon/runtime.py
+++ b/packages/daemon/src/clayfield/daemon/runtime.py
@@ -17,7 +17,8 @@
 from clayfield.config import parse
 from clayfield.daemon.metrics import Metrics
 from clayfield.daemon.operators import Operators
-from clayfield.daemon.peers import PeerFiles, Peers
+from clayfield.daemon.peers import Peers
+from clayfield.daemon.peertls import PeerFiles
 from clayfield.daemon.platform import PlatformPoll
 from clayfield.daemon.settings import DaemonSettings
 from clayfield.daemon.store import Store
@@ -70,7 +71,7 @@
         self.operators = Operators(self.core)
         self.core.entry.counters.listener = self._on_finished
         self._peers = Peers(
-            cfg.cluster, identity, self._on_messages, _peer_files(cfg)
+            reactor, cfg.cluster, identity, self._on_messages, _peer_files(cfg)
         )
         shared_by = len(identity.boxes_in(identity.hall))
         self._workers = WorkerClient(
@@ -92,19 +93,19 @@
         self._led: set[tuple[str, int]] = set()
         self._has_offered = False
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Listens, connects and begins to tick."""
-        await self._peers.start()
+        self._peers.start()
         self._ticking.start(TICK_S, now=False)
         if self._cfg.platform_list:
             self._poll.start()
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Ends the streams; `drain` comes before."""
         self._ticking.stop()
         self._poll.stop()
         self._workers.close()
-        await self._peers.stop()
+        self._peers.stop()
         self.tracing.close()
         if self._store:
             self._store.close()
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -68,8 +68,8 @@
 
     def __init__(
         self,
-        election_ms: float = 400.0,
-        heartbeat_ms: float = 60.0,
+        election_ms: float = 500.0,
+        heartbeat_ms: float = 100.0,
         compact_entries: int = 4096,
     ):
         self.election_ms = election_ms
--- a/packages/wire/src/clayfield/wire/codec.py
+++ b/packages/wire/src/clayfield/wire/codec.py
@@ -38,25 +38,63 @@
         raise ClayfieldError(Kind.BAD_FRAME, f"{exc}.") from exc
 
 
-def check_peer(cluster: str, version: int, expected_cluster: str) -> None:
-    """Checks a peer's greeting.
+class Greeting(msgspec.Struct, frozen=True, array_like=True):
+    """The first frame of a stream: who speaks.
+
+    Attributes:
+        cluster: the name that all boxes of a cluster share.
+        box: the sender's name.
+        incarnation: of the sender's process.
+        hall: where the sender stands.
+        version: the newest protocol version that it speaks.
+    """
+
+    cluster: str
+    box: str
+    incarnation: int
+    hall: str
+    version: int = PROTOCOL_VERSION
+
+
+_greeting_decoder = msgspec.msgpack.Decoder(Greeting)
+
+
+def encode_greeting(greeting: Greeting) -> bytes:
+    """Returns a greeting as bytes."""
+    return _encoder.encode(greeting)
+
+
+def decode_greeting(data: bytes) -> Greeting:
+    """Returns the greeting that opens a stream.
+
+    Raises:
+        ClayfieldError: of kind BAD_FRAME, when it is none.
+    """
+    try:
+        return _greeting_decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise ClayfieldError(Kind.BAD_FRAME, f"{exc}.") from exc
+
+
+def check_greeting(greeting: Greeting, cluster: str) -> None:
+    """Checks that a peer belongs here.
 
     Args:
-        cluster: the name of the peer's cluster.
-        version: the newest protocol version that the peer speaks.
-        expected_cluster: the name of this box's own cluster.
+        greeting: what it said.
+        cluster: the name of this box's own cluster.
 
     Raises:
         ClayfieldError: of kind BAD_FRAME, when the peer is of another cluster
             or too old.
     """
-    if cluster != expected_cluster:
+    if greeting.cluster != cluster:
         raise ClayfieldError(
             Kind.BAD_FRAME,
-            f"peer is of cluster {cluster!r}, not {expected_cluster!r}.",
+            f"peer is of cluster {greeting.cluster!r}, not {cluster!r}.",
         )
-    if version < OLDEST_VERSION:
+    if greeting.version < OLDEST_VERSION:
         raise ClayfieldError(
             Kind.BAD_FRAME,
-            f"peer speaks version {version}, oldest known {OLDEST_VERSION}.",
+            f"peer speaks version {greeting.version}, oldest known"
+            f" {OLDEST_VERSION}.",
         )
