Add the chaos driver; drop a group whose majority is provably gone

Cause: random schedules of crashes, cuts, freezes, lost disks and races over the real box decisions showed (a) a hall that lost two of three replicas at once stayed without claims for ever; (b) a box without configuration told a resubmission 'did not run' though another box had run it; (c) schedules were not repeatable, since sets of names were iterated.

The refusal of unknown names now waits for the registry's word on the key, and what is iterated is sorted.

Conclusion: the harness finds what matters; it stays.

--- a/packages/base/src/clayfield/base/errors.py
+++ b/packages/base/src/clayfield/base/errors.py
@@ -103,6 +103,12 @@
     STOPPING = _Spec(
         "CF206", 503, "this box is stopping", "Send again to another box."
     )
+    NOT_READY = _Spec(
+        "CF207",
+        503,
+        "this box has no configuration yet",
+        "Send again after Retry-After, or to another box.",
+    )
     TASK_LOST = _Spec(
         "CF301",
         502,
--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -16,7 +16,6 @@
 from clayfield.config import Configuration, to_bytes
 from clayfield.dispatch import (
     Action,
-    Answer,
     Entry,
     Submission,
     TaskEnd,
@@ -24,7 +23,6 @@
     ToRegistry,
     ToScheduler,
     WorkerInfo,
-    render_problem,
 )
 from clayfield.state import (
     ClaimTable,
@@ -48,6 +46,7 @@
 APPLY_RESEND_MS = 400.0
 APPLY_TIMEOUT_MS = 5000.0
 WITNESS_PATIENCE = 3.0
+NOT_READY_RETRY_MS = 500
 # Configurations may wait longer for a leader than claims.
 CONTROL_TIMING = Timing(election_ms=1200.0, heartbeat_ms=300.0)
 
@@ -161,6 +160,7 @@
             self._rng,
             self._timing,
             patience=1.0 if is_own else WITNESS_PATIENCE,
+            may_drop=True,
         )
         return Registry(self._clock, hall, group)
 
@@ -210,12 +210,10 @@
         waiter: object,
         is_first: bool = False,
         traceparent: str = "",
+        refusal: Problem | None = None,
     ) -> Submission | None:
-        """Takes a checked submission; see `Entry.submit`."""
-        if service not in self.cfg.services or priority not in self.cfg.classes:
-            problem = Problem(Kind.NOT_FOUND, f"{service}, {priority}.")
-            self._actions.append(Answer(waiter, render_problem(problem)))
-            return None
+        """Takes a submission; see `Entry.submit`."""
+        refusal = refusal or self._why_not(service, priority)
         return self.entry.submit(
             owned_key(member, key),
             body,
@@ -228,8 +226,18 @@
             waiter,
             is_first,
             traceparent,
+            refusal,
         )
 
+    def _why_not(self, service: str, priority: str) -> Problem | None:
+        if not self.cfg.version:
+            return Problem(Kind.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS)
+        if service not in self.cfg.services:
+            return Problem(Kind.NOT_FOUND, f"Service {service!r}.")
+        if priority not in self.cfg.classes:
+            return Problem(Kind.NOT_FOUND, f"Class {priority!r}.")
+        return None
+
     def look_up(self, member: str, key: str, waiter: object) -> None:
         """Asks for the state or the answer of a member's key."""
         self.entry.look_up(owned_key(member, key), waiter)
@@ -433,12 +441,12 @@
         beat = m.Heartbeat(
             self.identity.hall,
             self.follower.version,
-            tuple(g.base for g in groups if g.is_fresh),
+            tuple(g.base for g in groups if g.holds_nothing_live),
             {g.base: g.consensus.term for g in groups if g.is_leader},
             tuple(g.join_name() for g in groups),
             self._is_stopping,
         )
-        for box in self._beat_targets():
+        for box in sorted(self._beat_targets()):
             self._actions.append(Send(box, beat))
 
     def _beat_targets(self) -> set[str]:
--- a/packages/box/src/clayfield/box/registry.py
+++ b/packages/box/src/clayfield/box/registry.py
@@ -212,7 +212,7 @@
         if self._synced >= live:
             self._silent_until_ms = 0.0
         self.scheduler.tick()
-        for node in self.scheduler.nodes():
+        for node in sorted(self.scheduler.nodes()):
             box = box_of(node)
             is_gone = peers.is_superseded(node) or (
                 box != box_of(self.group.node) and not peers.is_live(box)
--- a/packages/daemon/src/clayfield/daemon/callers.py
+++ b/packages/daemon/src/clayfield/daemon/callers.py
@@ -6,7 +6,7 @@
 import msgspec
 from twisted.web import http, resource, server
 
-from clayfield.base import ClayfieldError, Kind
+from clayfield.base import ClayfieldError, Kind, Problem, Ran
 from clayfield.box import BoxCore
 from clayfield.config import Configuration
 from clayfield.daemon.http import (
@@ -26,6 +26,8 @@
 MAX_KEY = 200
 MAX_DEADLINE_MS = 86_400_000
 TRUE = "true"
+FIRST_HEADER = "clayfield-first-send"
+RETRY_AFTER_MS = 500
 
 
 class SubmissionBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -109,6 +111,16 @@
         """The configuration in force."""
         return self.core.cfg
 
+    def check_ready(self, is_first: bool) -> None:
+        """Checks that there is a configuration to judge a request by.
+
+        Raises:
+            ClayfieldError: of kind NOT_READY.
+        """
+        if not self.cfg.version:
+            ran = Ran.NO if is_first else Ran.MAYBE
+            raise ClayfieldError(Kind.NOT_READY, "", ran, RETRY_AFTER_MS)
+
     def member_of(self, request: http.Request) -> str:
         """Returns the member that a request's token belongs to.
 
@@ -158,14 +170,16 @@
 
     def render_POST(self, request: http.Request) -> int:  # noqa: N802
         """Takes a submission; answers when it has ended."""
+        is_first = request.getHeader(FIRST_HEADER) == TRUE
+        self._callers.check_ready(is_first)
         member = self._callers.member_of(request)
         key = check_key(request.getHeader("idempotency-key"))
         body = request.content.read()
         wanted = read_json(body, _decoder)
         if wanted.member != member:
             raise ClayfieldError(Kind.FORBIDDEN, f"Member {wanted.member!r}.")
-        wanted = fill_in(wanted, self._callers.cfg)
-        self._submit(request, key, body, wanted)
+        wanted, refusal = fill_in(wanted, self._callers.cfg)
+        self._submit(request, key, body, wanted, is_first, refusal)
         return server.NOT_DONE_YET
 
     def _submit(
@@ -174,6 +188,8 @@
         key: str,
         body: bytes,
         wanted: SubmissionBody,
+        is_first: bool,
+        refusal: Problem | None,
     ) -> None:
         core = self._callers.core
         waiter = Waiter(request)
@@ -193,8 +209,9 @@
             float(wanted.deadline_ms or 0),
             [bytes(task) for task in wanted.tasks],
             waiter,
-            request.getHeader("clayfield-first-send") == TRUE,
+            is_first,
             traceparent,
+            refusal,
         )
         self._callers.kick()
 
@@ -254,16 +271,18 @@
     return key
 
 
-def fill_in(wanted: SubmissionBody, cfg: Configuration) -> SubmissionBody:
-    """Returns a submission with its job's defaults, checked.
+def fill_in(
+    wanted: SubmissionBody, cfg: Configuration
+) -> tuple[SubmissionBody, Problem | None]:
+    """Returns a submission with its job's defaults, and why it cannot run.
 
-    Raises:
-        ClayfieldError: a name is unknown, or a limit is exceeded.
+    The reason is a part of the result, not raised: under an earlier
+    configuration the same key may have run, and only the registry knows.
     """
     if wanted.job:
         job = cfg.jobs.get(wanted.job)
         if job is None:
-            raise ClayfieldError(Kind.NOT_FOUND, f"Job {wanted.job!r}.")
+            return wanted, Problem(Kind.NOT_FOUND, f"Job {wanted.job!r}.")
         wanted = msgspec.structs.replace(
             wanted,
             service=wanted.service or job.service,
@@ -275,13 +294,8 @@
             ),
             deadline_ms=wanted.deadline_ms or job.deadline_ms or None,
         )
-    if wanted.service not in cfg.services:
-        raise ClayfieldError(Kind.NOT_FOUND, f"Service {wanted.service!r}.")
-    if wanted.priority not in cfg.classes:
-        raise ClayfieldError(Kind.NOT_FOUND, f"Class {wanted.priority!r}.")
     most = cfg.limits.tasks_per_job
     if len(wanted.tasks) > most:
-        raise ClayfieldError(
-            Kind.TOO_LARGE, f"{len(wanted.tasks)} tasks, tasks_per_job {most}."
-        )
-    return wanted
+        detail = f"{len(wanted.tasks)} tasks, tasks_per_job {most}."
+        return wanted, Problem(Kind.TOO_LARGE, detail)
+    return wanted, None
--- a/packages/daemon/src/clayfield/daemon/runtime.py
+++ b/packages/daemon/src/clayfield/daemon/runtime.py
@@ -35,7 +35,7 @@
 from clayfield.state.membership import box_of
 from clayfield.wire.messages import Message, Outcome
 
-TICK_S = 0.02
+TICK_S = 0.04
 WORKER_CONNECTIONS = 64
 MS_PER_S = 1000.0
 
--- a/packages/dispatch/src/clayfield/dispatch/entry.py
+++ b/packages/dispatch/src/clayfield/dispatch/entry.py
@@ -171,6 +171,7 @@
         waiter: object,
         is_first: bool = False,
         traceparent: str = "",
+        refusal: Problem | None = None,
     ) -> Submission | None:
         """Takes a checked submission; its waiter gets one answer.
 
@@ -187,6 +188,8 @@
             is_first: the caller never sent this key before; then a refusal
                 may say that nothing ran even if the registry is out of reach.
             traceparent: of the caller's trace, or "".
+            refusal: why it cannot run now. It is told only once the registry
+                has said that the key did not run earlier.
 
         Returns:
             The submission, None when it was answered at once.
@@ -226,7 +229,12 @@
         self._by_number[sub.number] = sub
         self.counters.submitted += 1
         self._send_claim(sub)
-        self._send_request(sub)
+        if refusal is None:
+            self._send_request(sub)
+        elif is_first:
+            self._refuse(sub, refusal)
+        else:
+            sub.refusal = refusal
         return sub
 
     def _join(self, sub: Submission, digest: bytes, waiter: object) -> None:
--- a/packages/dispatch/src/clayfield/dispatch/scheduler.py
+++ b/packages/dispatch/src/clayfield/dispatch/scheduler.py
@@ -121,7 +121,7 @@
         self._waiting: dict[tuple[str, int], Waiting] = {}
         self._running_of: dict[str, int] = {}
         self._estimates = Estimates()
-        self._dirty: set[str] = set()
+        self._dirty: dict[str, None] = {}
 
     @property
     def queued_work_ms(self) -> float:
@@ -163,12 +163,12 @@
         waiting.rank = rank
         waiting.pool = service.pool
         self._pool(service.pool).queue.add(waiting)
-        self._dirty.add(service.pool)
+        self._dirty[service.pool] = None
 
     def set_workers(self, infos: list[WorkerInfo]) -> None:
         """Takes the platform list; only this hall's workers count."""
         wanted = {i.name: i for i in infos if i.hall == self._hall}
-        for name in self._workers.keys() - wanted.keys():
+        for name in sorted(self._workers.keys() - wanted.keys()):
             self._drop_worker(name)
         for name, info in wanted.items():
             worker = self._workers.get(name)
@@ -197,7 +197,7 @@
     def _refile(self, worker: Worker) -> None:
         pool = worker.info.pool
         self._pool(pool).free.update(worker, self._clock.now_ms())
-        self._dirty.add(pool)
+        self._dirty[pool] = None
 
     # Events.
 
@@ -224,7 +224,7 @@
             return
         self._waiting[key] = waiting
         pool.queue.add(waiting)
-        self._dirty.add(service.pool)
+        self._dirty[service.pool] = None
 
     def _make_waiting(
         self, node: str, request: SlotRequest, service: Service, rank: int
@@ -434,7 +434,7 @@
     def assign(self) -> None:
         """Grants all slots that can be granted now."""
         while self._dirty:
-            pool = self._pool(self._dirty.pop())
+            pool = self._pool(self._dirty.popitem()[0])
             self._assign_pool(pool)
             self._shed(pool)
 
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -401,9 +401,9 @@
     def _follow_members(self) -> None:
         now_ms = self._clock.now_ms()
         wanted = {*self.members.voters, *self.members.learners} - {self.node}
-        for node in wanted - self._progress.keys():
+        for node in sorted(wanted - self._progress.keys()):
             self._progress[node] = Progress(self._log.last_index + 1, now_ms)
-        for node in self._progress.keys() - wanted:
+        for node in sorted(self._progress.keys() - wanted):
             del self._progress[node]
 
     def _append(self, entry: LogEntry) -> None:
--- a/packages/state/src/clayfield/state/group.py
+++ b/packages/state/src/clayfield/state/group.py
@@ -23,6 +23,8 @@
 
 INSTANCE_SEPARATOR = "@"
 MAX_LAG_TO_VOTE = 64
+# How long all nodes must agree that their group is lost before they drop it.
+LOST_MS = 1500.0
 
 
 def base_of(group: str) -> str:
@@ -52,6 +54,7 @@
         timing: Timing,
         patience: float = 1.0,
         stored: Replayed | None = None,
+        may_drop: bool = False,
     ):
         """Starts from what is stored, if anything.
 
@@ -66,6 +69,7 @@
             timing: the group's times.
             patience: see `Consensus`.
             stored: what the store holds, None for a group in memory.
+            may_drop: start anew when a majority is provably gone for good.
         """
         self.base = base
         self.node = node
@@ -78,6 +82,9 @@
         self._patience = patience
         self.machine = make_machine()
         self.consensus: Consensus | None = None
+        self._may_drop = may_drop
+        self._is_lost = False
+        self._lost_since_ms = 0.0
         self._births: list[Record] = []
         if stored and stored.instance:
             self._start(stored.instance, stored)
@@ -105,6 +112,11 @@
         """Whether the node holds nothing that an opened group left."""
         return self.consensus is None or not self._is_opened(self)
 
+    @property
+    def holds_nothing_live(self) -> bool:
+        """Whether what this node holds, if anything, can never count again."""
+        return self.is_fresh or self._is_lost
+
     @property
     def is_leader(self) -> bool:
         """Whether this node leads under a valid lease."""
@@ -142,6 +154,7 @@
 
     def tick(self, peers: PeerTable) -> None:
         """Lets time act, and brings the members nearer to the wanted ones."""
+        self._drop_if_lost(peers)
         if self.consensus is None:
             self._form_if_first(peers)
         if self.consensus is None:
@@ -161,6 +174,36 @@
         self._be_born(instance)
         self.consensus.form(Members((self.node,)))
 
+    def _drop_if_lost(self, peers: PeerTable) -> None:
+        """Drops a group of which a majority is gone for good.
+
+        A voter is gone for good when a later incarnation of its box was
+        heard. When every node that still lives sees it so, none of them can
+        ever lead again, and the claims start anew; see docs/design/claims.md.
+        """
+        now_ms = self._clock.now_ms()
+        self._is_lost = self._may_drop and self._sees_majority_gone(peers)
+        is_agreed = self._is_lost and all(
+            box == box_of(self.node) or self._says_fresh(peers, box)
+            for box in self._replicas
+        )
+        if not is_agreed:
+            self._lost_since_ms = now_ms
+        elif now_ms - self._lost_since_ms >= LOST_MS:
+            self.consensus = None
+            self.machine = self._make_machine()
+            self._is_lost = False
+
+    def _sees_majority_gone(self, peers: PeerTable) -> bool:
+        if self.consensus is None or not self.consensus.members.voters:
+            return False
+        voters = self.consensus.members.voters
+        gone = sum(
+            peers.is_superseded(voter) or supersedes(self.node, voter)
+            for voter in voters
+        )
+        return (len(voters) - gone) * 2 <= len(voters)
+
     def _says_fresh(self, peers: PeerTable, box: str) -> bool:
         peer = peers.get(box)
         if peer is None or peer.beat is None or not peers.is_live(box):
--- /dev/null
+++ b/packages/testbed/src/clayfield/testbed/chaos.py
@@ -0,0 +1,378 @@
+"""Random schedules of faults on a site, with every promise checked.
+
+The driver submits, resubmits, crashes, freezes, cuts, loses disks, applies
+racing configurations and stops boxes; then it repairs everything and checks
+that the site comes to rest with one configuration and one answer a key.
+"""
+
+import collections
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from clayfield.box import BoxCore
+from clayfield.config import Configuration, Limits
+from clayfield.state import Timing
+from clayfield.testbed.box import FakeBox
+from clayfield.testbed.ledger import Ledger
+from clayfield.testbed.network import Faults
+from clayfield.testbed.site import DEFAULT, MEMBER, Site, SiteShape
+from clayfield.wire.messages import Outcome
+
+SHAPE = SiteShape({"h1": 3, "h2": 2, "h3": 3}, control=3, workers=2, slots=4)
+BAD_NETWORK = Faults(drop=0.02, double=0.02, jitter_ms=3.0)
+GOOD_NETWORK = Faults()
+STEP_MS = 120.0
+REST_MS = 20_000.0
+PRIORITIES = ("cancel", "dear", "cheap")
+
+
+class Chaos:
+    """One random schedule.
+
+    Attributes:
+        site: what it torments.
+        ledger: what came of it.
+        injected: how often each kind of fault was put in.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        shape: SiteShape = SHAPE,
+        make_core: type[BoxCore] = BoxCore,
+        timing: Timing | None = None,
+        is_strict: bool = True,
+    ):
+        self.ledger = Ledger(is_strict)
+        self.site = Site(
+            shape,
+            seed,
+            self.ledger,
+            timing or Timing(compact_entries=200),
+            make_core=make_core,
+        )
+        self.injected: collections.Counter[str] = collections.Counter()
+        self._rng = random.Random(seed * 7919 + 1)
+        self._keys: list[tuple[str, list[float]]] = []
+        self._unanswered = 0
+        self._stopping: dict[str, int] = {}
+        self._in_flight: dict[tuple[str, int], list] = {}
+        self.actions: dict[str, tuple[float, Callable[[], bool]]] = {
+            "submit": (10.0, self.submit),
+            "resubmit": (6.0, self.resubmit),
+            "resubmit_at_once": (2.0, self.submit_twice),
+            "apply": (2.0, self.apply),
+            "race": (1.0, self.race),
+            "crash": (1.2, self.crash),
+            "crash_hall": (0.15, self.crash_hall),
+            "restart": (3.0, self.restart),
+            "lose_disk": (0.4, self.lose_disk),
+            "freeze": (0.5, self.freeze),
+            "thaw": (1.5, self.thaw),
+            "cut_hall": (0.3, self.cut_hall),
+            "cut_box": (0.4, self.cut_box),
+            "heal": (1.0, self.heal),
+            "bad_network": (0.4, self.worsen),
+            "good_network": (0.4, self.improve),
+            "planned_stop": (0.4, self.planned_stop),
+            "worker_dies": (0.4, self.kill_worker),
+            "worker_returns": (0.8, self.revive_worker),
+            "worker_leaves": (0.2, self.leave_worker),
+        }
+
+    # Running.
+
+    def run(self, steps: int) -> None:
+        """Carries out a schedule of random actions, then rests and checks."""
+        self.site.settle()
+        names = list(self.actions)
+        weights = [self.actions[name][0] for name in names]
+        for _ in range(steps):
+            self.do(self._rng.choices(names, weights)[0])
+            self.site.run(self._rng.random() * STEP_MS)
+        self.rest()
+
+    def do(self, name: str) -> None:
+        """Carries out one action, if it makes sense now."""
+        if self.actions[name][1]():
+            self.injected[name] += 1
+
+    def rest(self) -> None:
+        """Repairs everything, lets the site rest and checks it.
+
+        Raises:
+            ViolationError: a promise was broken.
+            AssertionError: the site did not come to rest.
+        """
+        self.improve()
+        self.heal()
+        for box in self.site.boxes.values():
+            if box.is_frozen:
+                box.thaw()
+        for worker in self.site.workers.values():
+            worker.is_leaving = False
+            worker.revive()
+        for box in self.site.boxes.values():
+            if box.core is None or box.name in self._stopping:
+                box.crash()
+                box.start()
+        self.site.run(REST_MS)
+        self._check_rest()
+        self._ask_again()
+
+    def _check_rest(self) -> None:
+        boxes = self.site.boxes.values()
+        busy = [box.name for box in boxes if not box.core.entry.is_idle]
+        assert not busy, f"still busy: {busy}"
+        not_ready = [box.name for box in boxes if not box.core.is_ready]
+        assert not not_ready, f"not ready: {not_ready}"
+        versions = {box.core.cfg.version for box in boxes}
+        assert len(versions) == 1, f"versions differ: {versions}"
+        assert not self._unanswered, f"{self._unanswered} never answered"
+
+    def _ask_again(self) -> None:
+        """Sends every key once more: nothing may start, answers must agree."""
+        for key, run_ms in self._keys:
+            self._send(self._pick_up(), key, run_ms)
+        self.site.run(REST_MS)
+        assert not self._unanswered, f"{self._unanswered} never answered"
+
+    # Callers.
+
+    def submit(self) -> bool:
+        """Submits a new job."""
+        hall = self._rng.choice([*self.site.shape.halls, ""])
+        number = len(self._keys)
+        key = f"{hall}:{number}" if hall else f"k{number}"
+        count = self._rng.choice((1, 1, 2, 3, 6))
+        run_ms = [50.0 + self._rng.random() * 450 for _ in range(count)]
+        self._keys.append((key, run_ms))
+        return self._send(self._pick_up(), key, run_ms)
+
+    def resubmit(self) -> bool:
+        """Submits a recent job again, anywhere."""
+        if not self._keys:
+            return False
+        key, run_ms = self._rng.choice(self._keys[-12:])
+        return self._send(self._pick_up(), key, run_ms)
+
+    def submit_twice(self) -> bool:
+        """Submits a new job at two boxes at the same moment."""
+        self.submit()
+        key, run_ms = self._keys[-1]
+        return self._send(self._pick_up(), key, run_ms)
+
+    def _pick_up(self) -> FakeBox | None:
+        boxes = [box for box in self.site.boxes.values() if box.core]
+        return self._rng.choice(boxes) if boxes else None
+
+    def _send(self, box: FakeBox | None, key: str, run_ms: list[float]) -> bool:
+        if box is None:
+            return False
+        incarnation = box.incarnation
+        self._unanswered += 1
+        is_answered = [False]
+        self._in_flight.setdefault((box.name, incarnation), []).append(
+            (key, is_answered)
+        )
+
+        def answered(outcome: Outcome) -> None:
+            is_answered[0] = True
+            self._unanswered -= 1
+
+        self.site.submit(
+            box.name,
+            key,
+            PRIORITIES[len(run_ms) % len(PRIORITIES)],
+            run_ms,
+            answered,
+            member=MEMBER,
+        )
+        self._watch_crash(box, incarnation, is_answered)
+        return True
+
+    def _watch_crash(
+        self, box: FakeBox, incarnation: int, is_answered: list[bool]
+    ) -> None:
+        """Counts a caller as answered whose box died: its line broke."""
+
+        def look() -> None:
+            if is_answered[0]:
+                return
+            if box.core is None or box.incarnation != incarnation:
+                self._unanswered -= 1
+                is_answered[0] = True
+                return
+            self.site.events.after(500.0, look)
+
+        self.site.events.after(500.0, look)
+
+    # Operators.
+
+    def apply(self) -> bool:
+        """Applies a change at a box."""
+        box = self._pick_up()
+        return box is not None and self._apply_at(box, box.core.cfg)
+
+    def race(self) -> bool:
+        """Applies two files for the same version at two boxes."""
+        one, other = self._pick_up(), self._pick_up()
+        if one is None or one is other:
+            return False
+        base = one.core.cfg
+        return self._apply_at(one, base) and self._apply_at(other, base)
+
+    def _apply_at(self, box: FakeBox, base: Configuration) -> bool:
+        if base.version < 1:
+            return False
+        wanted = msgspec.structs.replace(
+            base,
+            replaces=base.version,
+            limits=Limits(queue_ms=self._rng.randrange(500, 5000)),
+        )
+        return bool(self.site.apply(box.name, wanted))
+
+    # Faults.
+
+    def crash(self) -> bool:
+        """Kills a box, unless too many are down for any answer."""
+        up = [b for b in self.site.boxes.values() if b.core]
+        if len(up) <= len(self.site.boxes) // 2:
+            return False
+        self._rng.choice(up).crash()
+        return True
+
+    def crash_hall(self) -> bool:
+        """Kills all boxes of a hall at once."""
+        hall = self._rng.choice(list(self.site.shape.halls))
+        for box in self.site.boxes_in(hall):
+            box.crash()
+        return True
+
+    def restart(self) -> bool:
+        """Starts a box that is down."""
+        down = [b for b in self.site.boxes.values() if b.core is None]
+        if not down:
+            return False
+        box = self._rng.choice(down)
+        self._stopping.pop(box.name, None)
+        box.start()
+        return True
+
+    def lose_disk(self) -> bool:
+        """Replaces the disk of a control box, if all others are whole."""
+        disks = [b for b in self.site.boxes.values() if b.disk]
+        if not all(b.core and self._votes(b) for b in disks):
+            return False
+        box = self._rng.choice(disks)
+        box.crash()
+        box.lose_disk()
+        return True
+
+    def _votes(self, box: FakeBox) -> bool:
+        group = box.core.control.group
+        return group.is_voter and group.machine.is_open and group.is_whole
+
+    def freeze(self) -> bool:
+        """Stops a box without ending it."""
+        box = self._pick_up()
+        if box is None or box.is_frozen:
+            return False
+        box.freeze()
+        return True
+
+    def thaw(self) -> bool:
+        """Lets a frozen box go on."""
+        frozen = [b for b in self.site.boxes.values() if b.is_frozen]
+        if not frozen:
+            return False
+        self._rng.choice(frozen).thaw()
+        return True
+
+    def cut_hall(self) -> bool:
+        """Cuts a hall off from the others."""
+        hall = self._rng.choice(list(self.site.shape.halls))
+        inside = self.site.places_in(hall)
+        outside = {*self.site.boxes, *self.site.workers} - inside
+        self.site.network.cut(inside, outside)
+        return True
+
+    def cut_box(self) -> bool:
+        """Cuts a box off from the other boxes, in silence."""
+        box = self._rng.choice(list(self.site.boxes))
+        self.site.network.cut({box}, set(self.site.boxes) - {box})
+        return True
+
+    def heal(self) -> bool:
+        """Ends all cuts."""
+        self.site.network.heal()
+        return True
+
+    def worsen(self) -> bool:
+        """Lets the network drop, double and reorder."""
+        self.site.network.faults = BAD_NETWORK
+        return True
+
+    def improve(self) -> bool:
+        """Lets the network work well."""
+        self.site.network.faults = GOOD_NETWORK
+        return True
+
+    def planned_stop(self) -> bool:
+        """Stops a box as planned; it is started again later."""
+        box = self._pick_up()
+        if box is None or box.is_frozen or box.name in self._stopping:
+            return False
+        self._stopping[box.name] = box.incarnation
+        box.do(lambda core: core.announce_stop())
+        incarnation = box.incarnation
+        self.site.events.after(
+            500.0, lambda: self._begin_stop(box, incarnation)
+        )
+        return True
+
+    def _begin_stop(self, box: FakeBox, incarnation: int) -> None:
+        if box.incarnation != incarnation or box.core is None:
+            return
+        box.do(lambda core: core.begin_stop())
+        self._end_when_drained(box, incarnation)
+
+    def _end_when_drained(self, box: FakeBox, incarnation: int) -> None:
+        if box.incarnation != incarnation or box.core is None:
+            return
+        if box.core.is_drained:
+            sent = self._in_flight.get((box.name, incarnation), [])
+            for key, is_answered in sent:
+                self.ledger.on_planned_stop_answer(key, is_answered[0])
+            box.crash()
+            return
+        self.site.events.after(
+            50.0, lambda: self._end_when_drained(box, incarnation)
+        )
+
+    def kill_worker(self) -> bool:
+        """Kills a worker; what it ran is lost."""
+        alive = [w for w in self.site.workers.values() if w.is_alive]
+        if len(alive) <= len(self.site.workers) // 2:
+            return False
+        self._rng.choice(alive).kill()
+        return True
+
+    def revive_worker(self) -> bool:
+        """Brings a dead worker back."""
+        dead = [w for w in self.site.workers.values() if not w.is_alive]
+        if not dead:
+            return False
+        self._rng.choice(dead).revive()
+        return True
+
+    def leave_worker(self) -> bool:
+        """Lets a worker leave; starts after the grace are violations."""
+        staying = [w for w in self.site.workers.values() if not w.is_leaving]
+        if len(staying) <= len(self.site.workers) // 2:
+            return False
+        worker = self._rng.choice(staying)
+        worker.is_leaving = True
+        return True
--- a/packages/testbed/src/clayfield/testbed/ledger.py
+++ b/packages/testbed/src/clayfield/testbed/ledger.py
@@ -90,7 +90,11 @@
         problem = read_problem(outcome.body)
         if problem.ran == Ran.NO:
             count = self._started_keys[key]
-            self._check(DID_RUN, not count, f"{key} had {count} starts")
+            self._check(
+                DID_RUN,
+                not count,
+                f"{key} had {count} starts: {outcome.body.decode()}",
+            )
             if not self._open[key]:
                 self._says_not_run[key] = 1
 
--- a/packages/testbed/src/clayfield/testbed/site.py
+++ b/packages/testbed/src/clayfield/testbed/site.py
@@ -183,12 +183,21 @@
         ]
 
         def show() -> None:
+            self._note_leaving(listed)
             for box in self.boxes.values():
                 box.do(lambda core: core.on_workers(listed))
 
         self.events.after(self.shape.list_lag_ms, show)
         self.events.after(LIST_MS, self._publish_list)
 
+    def _note_leaving(self, listed: list[WorkerInfo]) -> None:
+        for info in listed:
+            worker = self.workers[info.name]
+            if not info.is_leaving:
+                worker.seen_leaving_ms = float("inf")
+            elif worker.seen_leaving_ms == float("inf"):
+                worker.seen_leaving_ms = self.events.now_ms()
+
     def run(self, duration_ms: float) -> None:
         """Lets time pass."""
         self.events.run_until(self.events.now_ms() + duration_ms)
--- a/packages/testbed/src/clayfield/testbed/workers.py
+++ b/packages/testbed/src/clayfield/testbed/workers.py
@@ -17,6 +17,7 @@
         is_alive: refuses connections when not.
         is_leaving: refuses starts when so.
         is_frozen: takes starts and never answers.
+        seen_leaving_ms: since when boxes could see that it leaves.
         slowdown: multiplies the time of tasks.
         busy_ms: slot time spent on tasks that ended.
     """
@@ -26,6 +27,7 @@
         self.is_alive = True
         self.is_leaving = False
         self.is_frozen = False
+        self.seen_leaving_ms = float("inf")
         self.slowdown = 1.0
         self.busy_ms = 0.0
         self._events = events
@@ -41,6 +43,8 @@
             report(TaskEnd.UNREACHED, b"", 0.0)
             return
         if self.is_leaving:
+            asked_late = self._events.now_ms() - self.seen_leaving_ms
+            self._ledger.on_leaving_start(self.info.name, asked_late)
             report(TaskEnd.LEAVING, b"", 0.0)
             return
         if len(self._running) >= self.info.slots:
