Keep formings, own restarts and returning workers apart

Conclusion: instance names carry a forming number, peers know their own node, a worker's word that it leaves holds 15 s against the list, and requests whose pool has no worker left are refused.

--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -94,7 +94,7 @@
             control_timing: the times of the control log.
         """
         self.identity = identity
-        self.peers = PeerTable(clock)
+        self.peers = PeerTable(clock, identity.node)
         self.follower = ConfigFollower(clock)
         self.entry = Entry(clock, identity.node, self.follower.current)
         self._clock = clock
--- a/packages/dispatch/src/clayfield/dispatch/entry.py
+++ b/packages/dispatch/src/clayfield/dispatch/entry.py
@@ -397,7 +397,8 @@
         sub = self._by_key.get(reply.key)
         if sub is None or sub.phase is not Phase.FOLLOWING:
             return
-        sub.heard_ms = self._clock.now_ms()
+        if reply.is_pending:
+            sub.heard_ms = self._clock.now_ms()
         if reply.outcome and is_final(reply.outcome):
             self._finish(sub, reply.outcome)
 
--- a/packages/dispatch/src/clayfield/dispatch/queue.py
+++ b/packages/dispatch/src/clayfield/dispatch/queue.py
@@ -6,6 +6,7 @@
 
 # A job that has waited this many ms counts as one ms shorter.
 AGEING = 0.1
+FIRST_CHECK_MS = 3000.0
 
 
 class Waiting:
@@ -21,12 +22,14 @@
         task_ms: the estimated time of a task.
         arrived_ms: when it was asked for, on the scheduler's clock.
         deadline_ms: by when its tasks must have ended; infinite for none.
+        check_ms: when to see again whether any worker can serve it.
         racks: racks that its tasks are on.
         is_open: False once it was refused, cancelled or granted in full.
     """
 
     __slots__ = (
         "arrived_ms",
+        "check_ms",
         "deadline_ms",
         "granted",
         "is_open",
@@ -60,6 +63,7 @@
         self.deadline_ms = (
             now_ms + request.deadline_ms if has_deadline else float("inf")
         )
+        self.check_ms = now_ms + FIRST_CHECK_MS
         self.racks: set[str] = set()
         self.is_open = True
 
--- a/packages/dispatch/src/clayfield/dispatch/scheduler.py
+++ b/packages/dispatch/src/clayfield/dispatch/scheduler.py
@@ -33,6 +33,8 @@
 # A grant or request younger than this may not be in a box's report yet.
 SYNC_GRACE_MS = 1000.0
 MIN_RETRY_AFTER_MS = 100
+# How often a request that waits is checked for still having a worker.
+NO_WORKER_MS = 3000.0
 
 
 class Grant:
@@ -176,12 +178,15 @@
                 worker = self._workers[name] = Worker(info)
             worker.info = info
             worker.breaker.slots = info.slots
-            worker.is_leaving = worker.is_leaving or info.is_leaving
             self._refile(worker)
+        self._count_capacity()
+
+    def _count_capacity(self) -> None:
+        now_ms = self._clock.now_ms()
         for pool in self._pools.values():
             pool.capacity = 0
         for worker in self._workers.values():
-            if not worker.is_leaving:
+            if not worker.is_leaving(now_ms):
                 self._pool(worker.info.pool).capacity += worker.info.slots
 
     def _drop_worker(self, name: str) -> None:
@@ -254,9 +259,10 @@
         return None
 
     def _has_worker(self, service: Service) -> bool:
+        now_ms = self._clock.now_ms()
         return any(
             w.info.pool == service.pool
-            and not w.is_leaving
+            and not w.is_leaving(now_ms)
             and w.satisfies(*_needs(service))
             for w in self._workers.values()
         )
@@ -339,7 +345,8 @@
                         release.took_ms,
                     )
             case r if r == RELEASE_LEAVING:
-                worker.is_leaving = True
+                worker.on_said_leaving(now_ms)
+                self._count_capacity()
             case r if r == RELEASE_REFUSED:
                 worker.breaker.on_failure(now_ms, is_certain=False)
             case r if r == RELEASE_LOST:
@@ -415,19 +422,28 @@
             self._refile(worker)
 
     def tick(self) -> None:
-        """Lets time act: pauses end and deadlines pass."""
+        """Lets time act: pauses end, deadlines pass, workers stay away."""
         now_ms = self._clock.now_ms()
         for worker in self._workers.values():
-            if not worker.breaker.is_closed:
+            if worker.is_changing(now_ms):
                 self._refile(worker)
-        for pool in self._pools.values():
-            for waiting in pool.queue.all_open():
-                if waiting.granted:
-                    continue
-                if now_ms + waiting.task_ms > waiting.deadline_ms:
-                    self._refuse_waiting(
-                        waiting, pool, Kind.DEADLINE, "It waited too long."
-                    )
+        for waiting in list(self._waiting.values()):
+            pool = self._pool(waiting.pool)
+            is_late = now_ms + waiting.task_ms > waiting.deadline_ms
+            if is_late and not waiting.granted:
+                self._refuse_waiting(
+                    waiting, pool, Kind.DEADLINE, "It waited too long."
+                )
+            elif now_ms >= waiting.check_ms:
+                waiting.check_ms = now_ms + NO_WORKER_MS
+                self._refuse_if_no_worker(waiting, pool)
+
+    def _refuse_if_no_worker(self, waiting: Waiting, pool: _Pool) -> None:
+        service = self._cfg.services[waiting.request.service]
+        if not self._has_worker(service):
+            self._refuse_waiting(
+                waiting, pool, Kind.NO_WORKER, f"Pool {waiting.pool!r}."
+            )
 
     # Granting.
 
--- a/packages/dispatch/src/clayfield/dispatch/workers.py
+++ b/packages/dispatch/src/clayfield/dispatch/workers.py
@@ -2,6 +2,10 @@
 
 from clayfield.dispatch.breaker import Breaker
 
+# A worker's own word that it leaves holds this long against a list that
+# still shows it live.
+SAID_LEAVING_MS = 15_000.0
+
 
 class WorkerInfo:
     """What the platform list says of a worker.
@@ -64,20 +68,34 @@
         info: the latest word of the platform list.
         held: slots granted and not yet released.
         breaker: bounds the slots after failures.
-        is_leaving: by the list, or by its own refusal.
     """
 
-    __slots__ = ("breaker", "held", "info", "is_leaving")
+    __slots__ = ("_leaving_until_ms", "breaker", "held", "info")
 
     def __init__(self, info: WorkerInfo):
         self.info = info
         self.held = 0
         self.breaker = Breaker(info.slots)
-        self.is_leaving = info.is_leaving
+        self._leaving_until_ms = 0.0
+
+    def on_said_leaving(self, now_ms: float) -> None:
+        """Learns from a refusal that it leaves; the list will follow."""
+        self._leaving_until_ms = now_ms + SAID_LEAVING_MS
+
+    def is_leaving(self, now_ms: float) -> bool:
+        """Tells whether it leaves, by the list or by its own refusal."""
+        return self.info.is_leaving or now_ms < self._leaving_until_ms
+
+    def is_changing(self, now_ms: float) -> bool:
+        """Tells whether its free slots may change by time alone."""
+        has_returned = 0 < self._leaving_until_ms <= now_ms
+        if has_returned:
+            self._leaving_until_ms = 0.0
+        return has_returned or not self.breaker.is_closed
 
     def free_slots(self, now_ms: float) -> int:
         """Returns how many more tasks may start at it."""
-        if self.is_leaving:
+        if self.is_leaving(now_ms):
             return 0
         return max(0, self.breaker.allowance(now_ms) - self.held)
 
--- a/packages/state/src/clayfield/state/group.py
+++ b/packages/state/src/clayfield/state/group.py
@@ -22,6 +22,7 @@
 from clayfield.wire.messages import Grouped, Members, Message
 
 INSTANCE_SEPARATOR = "@"
+FORMING_SEPARATOR = "#"
 MAX_LAG_TO_VOTE = 64
 # How long all nodes must agree that their group is lost before they drop it.
 LOST_MS = 1500.0
@@ -83,6 +84,7 @@
         self.machine = make_machine()
         self.consensus: Consensus | None = None
         self._may_drop = may_drop
+        self._formings = 0
         self._is_lost = False
         self._lost_since_ms = 0.0
         self._births: list[Record] = []
@@ -170,8 +172,9 @@
         for box in self._replicas:
             if box != own_box and not self._says_fresh(peers, box):
                 return
-        instance = f"{self.base}{INSTANCE_SEPARATOR}{self.node}"
-        self._be_born(instance)
+        # A node may form its group again; the number keeps the names apart.
+        self._formings += 1
+        self._be_born(f"{self.join_name()}{FORMING_SEPARATOR}{self._formings}")
         self.consensus.form(Members((self.node,)))
 
     def _drop_if_lost(self, peers: PeerTable) -> None:
@@ -198,10 +201,7 @@
         if self.consensus is None or not self.consensus.members.voters:
             return False
         voters = self.consensus.members.voters
-        gone = sum(
-            peers.is_superseded(voter) or supersedes(self.node, voter)
-            for voter in voters
-        )
+        gone = sum(peers.is_superseded(voter) for voter in voters)
         return (len(voters) - gone) * 2 <= len(voters)
 
     def _says_fresh(self, peers: PeerTable, box: str) -> bool:
--- a/packages/state/src/clayfield/state/membership.py
+++ b/packages/state/src/clayfield/state/membership.py
@@ -54,10 +54,11 @@
 class PeerTable:
     """The peers of one box."""
 
-    __slots__ = ("_clock", "_peers")
+    __slots__ = ("_clock", "_node", "_peers")
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, node: str):
         self._clock = clock
+        self._node = node
         self._peers: dict[str, Peer] = {}
 
     def accepts(self, node: str) -> bool:
@@ -108,6 +109,8 @@
 
     def is_superseded(self, node: str) -> bool:
         """Tells whether a later incarnation of a node's box was heard."""
+        if supersedes(self._node, node):
+            return True
         peer = self._peers.get(box_of(node))
         return peer is not None and supersedes(peer.node, node)
 
