--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -251,6 +251,7 @@
     def on_workers(self, workers: list[WorkerInfo]) -> None:
         """Takes the platform list of workers."""
         self._workers = workers
+        self.entry.set_workers(workers)
         for registry in self.registries.values():
             if registry.scheduler:
                 registry.scheduler.set_workers(workers)
--- a/packages/dispatch/src/clayfield/dispatch/entry.py
+++ b/packages/dispatch/src/clayfield/dispatch/entry.py
@@ -30,6 +30,7 @@
 )
 from clayfield.dispatch.settlements import Settlements
 from clayfield.dispatch.submission import Phase, Submission
+from clayfield.dispatch.workers import WorkerInfo
 from clayfield.wire.messages import (
     CLAIM_DONE,
     CLAIM_GRANTED,
@@ -132,6 +133,7 @@
         self._by_number: dict[int, Submission] = {}
         self._held: dict[int, _Held] = {}
         self._next_number = 1
+        self._leaving: set[str] = set()
         self._settlements = Settlements()
         self._lookups = Lookups(node)
         self._budget = RetryBudget(cfg.limits.retry_share)
@@ -156,6 +158,14 @@
         self._cfg = cfg
         self._budget.share = cfg.limits.retry_share
 
+    def set_workers(self, infos: list[WorkerInfo]) -> None:
+        """Takes the platform list.
+
+        A slot may have been granted before its worker began to leave, and
+        only now come to be used.
+        """
+        self._leaving = {info.name for info in infos if info.is_leaving}
+
     # Submissions.
 
     def submit(
@@ -464,9 +474,17 @@
     def _start_granted(self, sub: Submission) -> None:
         if not sub.is_claimed or sub.phase is not Phase.OPEN:
             return
+        has_barred = False
         while sub.granted and sub.to_start:
             number, worker = sub.granted.pop()
-            self._start(sub, number, worker, sub.to_start.pop())
+            if worker in self._leaving:
+                has_barred = True
+                self._release(number, worker, RELEASE_UNUSED, 0.0)
+            else:
+                self._start(sub, number, worker, sub.to_start.pop())
+        if has_barred:
+            self._cancel_request(sub)
+            self._send_request(sub)
 
     def _start(
         self, sub: Submission, number: int, worker: str, task: int
--- a/packages/dispatch/src/clayfield/dispatch/scheduler.py
+++ b/packages/dispatch/src/clayfield/dispatch/scheduler.py
@@ -35,6 +35,7 @@
 MIN_RETRY_AFTER_MS = 100
 # How often a request that waits is checked for still having a worker.
 NO_WORKER_MS = 3000.0
+MOST_HELD_BACK = 0.25
 
 
 class Grant:
@@ -82,13 +83,14 @@
 class _Pool:
     """What the workers of one pool and their queue are doing."""
 
-    __slots__ = ("capacity", "first_held", "free", "headroom", "queue")
+    __slots__ = ("capacity", "first_held", "free", "headroom", "held", "queue")
 
     def __init__(self) -> None:
         self.free = FreeSlots()
         self.queue = Queue()
         self.headroom = Headroom()
         self.first_held = 0
+        self.held = 0
         self.capacity = 0
 
 
@@ -356,8 +358,9 @@
         del self._grants[grant.number]
         member = grant.request.member
         self._running_of[member] -= 1
-        if grant.is_first:
-            self._pool(grant.pool).first_held -= 1
+        pool = self._pool(grant.pool)
+        pool.held -= 1
+        pool.first_held -= grant.is_first
         worker = self._workers.get(grant.worker)
         if worker:
             worker.held -= 1
@@ -414,8 +417,9 @@
         self._grants[grant.number] = grant
         member = grant.request.member
         self._running_of[member] = self._running_of.get(member, 0) + 1
-        if grant.is_first:
-            self._pool(grant.pool).first_held += 1
+        pool = self._pool(grant.pool)
+        pool.held += 1
+        pool.first_held += grant.is_first
         worker = self._workers.get(grant.worker)
         if worker:
             worker.held += 1
@@ -470,9 +474,17 @@
     def _has_slot(self, pool: _Pool, rank: int) -> bool:
         if rank == 0:
             return pool.free.total > 0
+        return pool.free.total > self._held_back(pool)
+
+    def _held_back(self, pool: _Pool) -> int:
+        """Returns the free slots that are kept for the first class.
+
+        They are at most a share of the slots that are there now, so that
+        workers that return slot by slot get work to return with.
+        """
         target = pool.headroom.target(self._clock.now_ms())
-        held_back = max(0, target - pool.first_held)
-        return pool.free.total > held_back
+        most = int((pool.free.total + pool.held) * MOST_HELD_BACK)
+        return max(0, min(target - pool.first_held, most))
 
     def _grant(self, pool: _Pool, waiting: Waiting) -> None:
         service = self._cfg.services[waiting.request.service]
--- a/packages/state/src/clayfield/state/log.py
+++ b/packages/state/src/clayfield/state/log.py
@@ -47,10 +47,10 @@
 
     def term_at(self, index: int) -> int | None:
         """Returns the term of an entry, None when it is not held."""
-        if index == 0:
-            return 0
         if self.snapshot and index == self.snapshot.index:
             return self.snapshot.term
+        if index == 0 and self.snapshot is None:
+            return 0
         position = index - self.first_index
         if 0 <= position < len(self._entries):
             return self._entries[position].term
--- a/packages/testbed/src/clayfield/testbed/chaos.py
+++ b/packages/testbed/src/clayfield/testbed/chaos.py
@@ -17,7 +17,7 @@
 from clayfield.testbed.box import FakeBox
 from clayfield.testbed.ledger import Ledger
 from clayfield.testbed.network import Faults
-from clayfield.testbed.site import DEFAULT, MEMBER, Site, SiteShape
+from clayfield.testbed.site import MEMBER, Site, SiteShape
 from clayfield.wire.messages import Outcome
 
 SHAPE = SiteShape({"h1": 3, "h2": 2, "h3": 3}, control=3, workers=2, slots=4)
