--- a/packages/state/src/clayfield/state/_replication.py
+++ b/packages/state/src/clayfield/state/_replication.py
@@ -45,10 +45,17 @@
         self.next = max(self.next, self.match + 1)
         self.pending = max(0, self.pending - 1)
 
-    def on_mismatch(self, hint: int) -> None:
-        """Learns that the follower's log agrees at most up to a hint."""
+    def on_mismatch(self, hint: int) -> bool:
+        """Learns that the follower's log agrees at most up to a hint.
+
+        Returns:
+            Whether earlier entries are to be tried; False when they were
+            known to agree, as a late answer makes it seem.
+        """
+        before = self.next
         self.next = max(self.match, min(hint, self.next - 2)) + 1
         self.pending = 0
+        return self.next < before
 
     def restart_if_stuck(self) -> None:
         """Sends again when nothing was answered since the last heartbeat."""
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -515,8 +515,8 @@
         if reply.ok:
             progress.on_match(reply.match)
             self._advance_commit()
-        else:
-            progress.on_mismatch(reply.match)
+        elif not progress.on_mismatch(reply.match):
+            return
         if progress.next <= self._log.last_index:
             self._send_append(source, progress, is_heartbeat=False)
 
--- a/packages/testbed/src/clayfield/testbed/box.py
+++ b/packages/testbed/src/clayfield/testbed/box.py
@@ -47,7 +47,8 @@
         name: the box's name.
         core: its decisions, None while it is down.
         disk: its disk, None for a box without one.
-        log_of_versions: versions in force since its start.
+        incarnation: of its present process.
+        starts: how often its process was started.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.core: BoxCore | None = None
         self.disk = FakeDisk(1) if addresses[name].is_control else None
         self.incarnation = 0
+        self.starts = 0
         self.is_frozen = False
         self.boxes: dict[str, FakeBox] = {}
         self.applied: dict[int, Applied] = {}
@@ -91,6 +93,7 @@
     def start(self) -> None:
         """Starts the box's process."""
         self.incarnation += 1
+        self.starts += 1
         stored = replay(self.disk.records) if self.disk else None
         identity = Identity(
             self.name,
@@ -205,7 +208,8 @@
 
     def _on_in_force(self, version: int) -> None:
         digest = to_bytes(self.core.cfg)
-        self._ledger.on_in_force(self.node, version, digest)
+        process = f"{self.name} start {self.starts}"
+        self._ledger.on_in_force(process, version, digest)
 
     def _start_task(self, action: StartTask) -> None:
         core = self.core
--- a/packages/testbed/src/clayfield/testbed/chaos.py
+++ b/packages/testbed/src/clayfield/testbed/chaos.py
@@ -14,6 +14,7 @@
 from clayfield.box import BoxCore
 from clayfield.config import Configuration, Limits
 from clayfield.state import Timing
+from clayfield.state.membership import box_of
 from clayfield.testbed.box import FakeBox
 from clayfield.testbed.ledger import Ledger
 from clayfield.testbed.network import Faults
@@ -25,6 +26,7 @@
 GOOD_NETWORK = Faults()
 STEP_MS = 120.0
 REST_MS = 20_000.0
+SILENCE_MS = 8000.0
 PRIORITIES = ("cancel", "dear", "cheap")
 
 
@@ -121,6 +123,7 @@
         self.site.run(REST_MS)
         self._check_rest()
         self._ask_again()
+        self._return_from_silence()
 
     def _check_rest(self) -> None:
         boxes = self.site.boxes.values()
@@ -139,6 +142,32 @@
         self.site.run(REST_MS)
         assert not self._unanswered, f"{self._unanswered} never answered"
 
+    def _return_from_silence(self) -> None:
+        """Cuts a box off for long: its return must depose no leader."""
+        box = self._rng.choice(list(self.site.boxes))
+        before = self._leaders(except_box=box)
+        self.site.network.cut({box}, set(self.site.boxes) - {box})
+        self.site.run(SILENCE_MS)
+        self.site.network.heal()
+        self.site.run(SILENCE_MS)
+        after = self._leaders(except_box=box)
+        self.ledger.on_return(
+            before, {base: after.get(base) for base in before}
+        )
+
+    def _leaders(self, except_box: str) -> dict[str, tuple[str, int]]:
+        """Returns leader and term of each group that a box does not lead."""
+        leaders = {}
+        for box in self.site.boxes.values():
+            for group in box.core.groups:
+                if group.is_leader:
+                    leaders[group.base] = (group.node, group.consensus.term)
+        return {
+            base: led
+            for base, led in leaders.items()
+            if box_of(led[0]) != except_box
+        }
+
     # Callers.
 
     def submit(self) -> bool:
--- /dev/null
+++ b/packages/testbed/src/clayfield/testbed/drills.py
@@ -0,0 +1,407 @@
+"""Directed failures: each drill plays one that the brief names.
+
+A drill runs on a fresh site and raises when a promise is broken. Each ends by
+asking every key again, which must start nothing and give the same bytes.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from clayfield.base import Kind
+from clayfield.config import Configuration, Limits
+from clayfield.state.membership import box_of
+from clayfield.testbed.box import FakeBox
+from clayfield.testbed.site import Site, SiteShape
+from clayfield.wire.messages import Outcome
+
+ONE_HALL = SiteShape({"h1": 3}, control=3, workers=2, slots=4)
+THREE_HALLS = SiteShape(
+    {"h1": 3, "h2": 3, "h3": 3}, control=3, workers=2, slots=4
+)
+TASKS_MS = [80.0, 120.0]
+SETTLED_MS = 1500.0
+LONG_MS = 6000.0
+LIMIT_MS = 20_000.0
+MANY_CHANGES = 500
+
+
+class Drill:
+    """A site with a few callers.
+
+    Attributes:
+        site: it.
+        answers: all answers, by key.
+    """
+
+    def __init__(self, seed: int, shape: SiteShape = ONE_HALL):
+        self.site = Site(shape, seed)
+        self.answers: dict[str, list[Outcome]] = {}
+        self._priorities: dict[str, str] = {}
+        self.site.settle()
+
+    def submit(self, box: str, key: str, priority: str = "dear") -> None:
+        """Submits a job; its answer will be in `answers`."""
+        answers = self.answers.setdefault(key, [])
+        self.site.submit(box, key, priority, TASKS_MS, answers.append)
+
+    def statuses(self, key: str) -> list[int]:
+        """Returns the statuses of the answers to a key."""
+        return [outcome.status for outcome in self.answers[key]]
+
+    def leader(self, group: str) -> FakeBox:
+        """Returns the box that leads a group."""
+        for box in self.site.boxes.values():
+            if box.core is None:
+                continue
+            for one in box.core.groups:
+                if one.base == group and one.is_leader:
+                    return box
+        raise AssertionError(f"nobody leads {group}")
+
+    def followers(self, group: str) -> list[FakeBox]:
+        """Returns the other boxes of a group."""
+        leader = self.leader(group)
+        voters = next(
+            one.consensus.members.voters
+            for one in leader.core.groups
+            if one.base == group
+        )
+        names = [box_of(voter) for voter in voters]
+        return [self.site.boxes[n] for n in names if n != leader.name]
+
+    def cut(self, box: FakeBox) -> None:
+        """Cuts a box off from all other boxes, but not from workers."""
+        self.site.network.cut({box.name}, set(self.site.boxes) - {box.name})
+
+    def change(self, box: str, base: Configuration, queue_ms: int) -> int:
+        """Applies a change of a limit on top of a configuration."""
+        wanted = msgspec.structs.replace(
+            base, replaces=base.version, limits=Limits(queue_ms=queue_ms)
+        )
+        return self.site.apply(box, wanted)
+
+    def run_until(
+        self,
+        is_met: Callable[[], bool],
+        step_ms: float = 10.0,
+        meanwhile: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Lets time pass until something holds.
+
+        Raises:
+            AssertionError: it does not for long.
+        """
+        end_ms = self.site.events.now_ms() + LIMIT_MS
+        while not is_met():
+            assert self.site.events.now_ms() < end_ms, "waited in vain"
+            meanwhile()
+            self.site.run(step_ms)
+
+    def ask_again(self) -> None:
+        """Restores the site and asks every key once more, at every box."""
+        self.site.network.heal()
+        for box in self.site.boxes.values():
+            if box.core is None:
+                box.start()
+        self.site.run(LONG_MS)
+        for key in list(self.answers):
+            for box in self.site.boxes:
+                self.submit(box, key)
+        self.site.run(LONG_MS)
+
+
+def same_key_at_two_boxes(seed: int) -> None:
+    """The same key comes to all boxes of a hall at once."""
+    drill = Drill(seed)
+    for box in drill.site.boxes:
+        drill.submit(box, "h1:k")
+    drill.site.run(SETTLED_MS)
+    assert drill.statuses("h1:k") == [200, 200, 200]
+    drill.ask_again()
+
+
+def same_key_in_two_halls(seed: int) -> None:
+    """The same opaque key comes to two halls at once."""
+    drill = Drill(seed, THREE_HALLS)
+    for box in ("h1-a", "h2-a", "h3-c"):
+        drill.submit(box, "opaque")
+    drill.site.run(SETTLED_MS)
+    assert drill.statuses("opaque") == [200, 200, 200]
+    drill.ask_again()
+
+
+def answer_lost(seed: int) -> None:
+    """A caller loses the answer and asks again, elsewhere."""
+    drill = Drill(seed)
+    drill.submit("h1-b", "h1:k")
+    drill.site.run(SETTLED_MS)
+    drill.submit("h1-c", "h1:k")
+    drill.site.run(100)
+    first, second = drill.answers["h1:k"]
+    assert first.status == 200
+    assert first.body == second.body
+    drill.ask_again()
+
+
+def owner_died(seed: int) -> None:
+    """The box that runs a job dies; the key may have run."""
+    drill = Drill(seed)
+    drill.submit("h1-b", "h1:k")
+    drill.site.run(40)
+    drill.site.boxes["h1-b"].crash()
+    drill.submit("h1-c", "h1:k")
+    drill.site.run(LONG_MS)
+    assert drill.statuses("h1:k") == [502]
+    assert b'"ran":"maybe"' in drill.answers["h1:k"][0].body
+    drill.ask_again()
+
+
+def replica_died(seed: int) -> None:
+    """A replica of the claims dies while jobs run; none is harmed."""
+    drill = Drill(seed)
+    replica = drill.followers("hall:h1")[0]
+    other = drill.leader("hall:h1").name
+    drill.submit(other, "h1:k")
+    drill.site.run(20)
+    replica.crash()
+    drill.submit(other, "h1:l")
+    drill.site.run(SETTLED_MS)
+    assert drill.statuses("h1:k") == [200]
+    assert drill.statuses("h1:l") == [200]
+    drill.ask_again()
+
+
+def second_lost_after_repair(seed: int) -> None:
+    """A box comes back empty, catches up, and another is lost at once."""
+    drill = Drill(seed)
+    first, second = drill.followers("hall:h1")
+    asker = drill.leader("hall:h1").name
+    drill.submit(asker, "h1:k")
+    drill.site.run(SETTLED_MS)
+    first.crash()
+    first.start()
+    drill.run_until(lambda: first.core.is_ready)
+    second.crash()
+    drill.submit(first.name, "h1:k")
+    drill.site.run(SETTLED_MS)
+    assert drill.statuses("h1:k") == [200, 200]
+    drill.ask_again()
+
+
+def leader_isolated(seed: int) -> None:
+    """The leader of the claims is cut off; it must start nothing new."""
+    drill = Drill(seed)
+    leader = drill.leader("hall:h1")
+    other = drill.followers("hall:h1")[0]
+    drill.cut(leader)
+    drill.submit(leader.name, "h1:k")
+    drill.site.run(1800)
+    drill.submit(other.name, "h1:k")
+    drill.site.run(LONG_MS)
+    assert drill.statuses("h1:k").count(200) == 1
+    drill.ask_again()
+
+
+def empty_voter_returns(seed: int) -> None:
+    """Of a claim's two holders one restarts empty, the other is cut off."""
+    drill = Drill(seed)
+    leader = drill.leader("hall:h1")
+    restarted, absent = drill.followers("hall:h1")
+    drill.cut(absent)
+    drill.submit(leader.name, "h1:k")
+    drill.site.run(30)
+    restarted.crash()
+    restarted.start()
+    drill.site.network.heal()
+    drill.cut(leader)
+    drill.site.run(LONG_MS)
+    drill.submit(absent.name, "h1:k")
+    drill.site.run(LONG_MS)
+    drill.ask_again()
+
+
+def hall_cut_off(seed: int) -> None:
+    """A hall is cut off: it serves its own keys and refuses the others."""
+    drill = Drill(seed, THREE_HALLS)
+    inside = drill.site.places_in("h2")
+    outside = {*drill.site.boxes, *drill.site.workers} - inside
+    drill.site.network.cut(inside, outside)
+    drill.submit("h2-b", "h2:k")
+    drill.submit("h2-b", "h1:k")
+    drill.submit("h1-b", "h1:l")
+    drill.site.run(LONG_MS)
+    assert drill.statuses("h2:k") == [200]
+    assert drill.statuses("h1:l") == [200]
+    assert drill.statuses("h1:k") == [Kind.NO_REGISTRY.status]
+    drill.ask_again()
+
+
+def whole_hall_restarts(seed: int) -> None:
+    """All replicas of a hall lose their memory: earlier keys stay barred."""
+    drill = Drill(seed, THREE_HALLS)
+    drill.submit("h2-a", "h2:k")
+    drill.site.run(SETTLED_MS)
+    for box in drill.site.boxes_in("h2"):
+        box.crash()
+    for box in drill.site.boxes_in("h2"):
+        box.start()
+    drill.site.run(LONG_MS)
+    drill.submit("h2-a", "h2:k")
+    drill.submit("h2-b", "h2.2:new")
+    drill.site.run(SETTLED_MS)
+    assert drill.statuses("h2:k") == [200, Kind.CLAIMS_LOST.status]
+    assert drill.statuses("h2.2:new") == [200]
+    drill.ask_again()
+
+
+def worker_dies(seed: int) -> None:
+    """A worker dies with a task of a job: the job fails as may have run."""
+    drill = Drill(seed)
+    drill.submit("h1-a", "h1:k")
+    drill.site.run(30)
+    for worker in drill.site.workers.values():
+        worker.kill()
+    drill.site.run(20)
+    for worker in drill.site.workers.values():
+        worker.revive()
+    drill.site.run(LONG_MS)
+    assert drill.statuses("h1:k") == [Kind.TASK_LOST.status]
+    drill.ask_again()
+
+
+def operators_race(seed: int) -> None:
+    """Two files for one version: one wins, the other is told, both times."""
+    drill = Drill(seed)
+    base = drill.site.boxes["h1-a"].core.cfg
+    asked = []
+    for _ in range(2):
+        asked += [
+            (box, drill.change(box, base, queue_ms))
+            for box, queue_ms in (("h1-a", 700), ("h1-b", 900))
+        ]
+        drill.site.run(SETTLED_MS)
+    codes = [drill.site.boxes[b].applied[n].code for b, n in asked]
+    assert codes[:2] == codes[2:]
+    assert sorted(codes[:2]) == ["", Kind.VERSION_RACE.code]
+
+
+def resent_after_many_changes(seed: int) -> None:
+    """A file sent again after 500 changes gets its first answer."""
+    drill = Drill(seed)
+    base = drill.site.boxes["h1-a"].core.cfg
+    first = drill.change("h1-a", base, 777)
+    drill.site.run(SETTLED_MS)
+    for number in range(MANY_CHANGES):
+        drill.change("h1-a", drill.site.boxes["h1-a"].core.cfg, 500 + number)
+        drill.site.run(60)
+    again = drill.change("h1-c", base, 777)
+    drill.site.run(SETTLED_MS)
+    answers = [
+        drill.site.boxes[box].applied[number]
+        for box, number in (("h1-a", first), ("h1-c", again))
+    ]
+    assert [(one.version, one.code) for one in answers] == [(2, "")] * 2
+    assert drill.site.boxes["h1-b"].core.cfg.version == MANY_CHANGES + 2
+
+
+def many_changes_missed(seed: int) -> None:
+    """A control box is away for 500 changes, then has them all."""
+    drill = Drill(seed)
+    away = drill.followers("control")[0]
+    at = drill.leader("control")
+    away.crash()
+    for number in range(MANY_CHANGES):
+        drill.change(at.name, at.core.cfg, 500 + number)
+        drill.site.run(60)
+    away.start()
+    drill.site.run(LONG_MS)
+    assert away.core.cfg == at.core.cfg
+    assert away.core.cfg.version == MANY_CHANGES + 1
+
+
+def accepted_then_power_lost(seed: int) -> None:
+    """All boxes lose power just after a file was accepted."""
+    drill = Drill(seed)
+    leader = drill.leader("control")
+    number = drill.change(leader.name, leader.core.cfg, 777)
+    drill.run_until(lambda: number in leader.applied, step_ms=1.0)
+    assert leader.applied[number].code == ""
+    for box in drill.site.boxes.values():
+        box.crash()
+    for box in drill.site.boxes.values():
+        box.start()
+    drill.site.run(LONG_MS)
+    versions = {box.core.cfg.version for box in drill.site.boxes.values()}
+    assert versions == {2}, f"accepted version 2, in force {versions}"
+
+
+def back_from_silence(seed: int) -> None:
+    """A box comes back from a long silence and deposes nobody."""
+    for group in ("hall:h1", "control"):
+        drill = Drill(seed)
+        silent = drill.followers(group)[0]
+        leader = drill.leader(group)
+        before = {group: _term_of(leader, group)}
+        drill.cut(silent)
+        drill.site.run(60_000)
+        drill.site.network.heal()
+        drill.site.run(LONG_MS)
+        after = {group: _term_of(drill.leader(group), group)}
+        drill.site.ledger.on_return(before, after)
+
+
+def _term_of(box: FakeBox, group: str) -> int:
+    return next(
+        one.consensus.term for one in box.core.groups if one.base == group
+    )
+
+
+def rolling_restart_under_load(seed: int) -> None:
+    """Every box is stopped as planned and started again, under load."""
+    drill = Drill(seed)
+    for name, box in drill.site.boxes.items():
+        others = [other for other in drill.site.boxes if other != name]
+
+        def submit(box: str = others[0]) -> None:
+            drill.submit(box, f"h1:k{len(drill.answers)}")
+
+        for _ in range(10):
+            submit(name)
+            drill.site.run(15)
+        box.do(lambda core: core.announce_stop())
+        box.do(lambda core: core.begin_stop())
+        core = box.core
+        drill.run_until(lambda core=core: core.is_drained, 30.0, submit)
+        box.crash()
+        box.start()
+        core = box.core
+        drill.run_until(lambda core=core: core.is_ready, 30.0, submit)
+    drill.site.run(LONG_MS)
+    for key in drill.answers:
+        is_whole = drill.statuses(key) == [200]
+        drill.site.ledger.on_planned_stop_answer(key, is_whole)
+
+
+DRILLS: dict[str, Callable[[int], None]] = {
+    one.__name__: one
+    for one in (
+        same_key_at_two_boxes,
+        same_key_in_two_halls,
+        answer_lost,
+        owner_died,
+        replica_died,
+        second_lost_after_repair,
+        leader_isolated,
+        empty_voter_returns,
+        hall_cut_off,
+        whole_hall_restarts,
+        worker_dies,
+        operators_race,
+        resent_after_many_changes,
+        many_changes_missed,
+        accepted_then_power_lost,
+        back_from_silence,
+        rolling_restart_under_load,
+    )
+}
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,98 @@
+"""The data folder after crashes, damage and failures."""
+
+import os
+
+import pytest
+
+from clayfield.base import ClayfieldError, Kind
+from clayfield.daemon.store import HEADER, Store, frame_record
+from clayfield.state import Append, Born, HardState, Snapshot
+from clayfield.wire.messages import LogEntry, Members
+
+ENTRIES = [Append(n, LogEntry(1, 0, b"x" * n)) for n in range(1, 6)]
+RECORDS = [Born("control@a/1#1"), HardState(1, "a/1"), *ENTRIES]
+
+
+def _filled(folder):
+    store = Store(str(folder))
+    store.write(RECORDS)
+    store.close()
+    return folder / "log-1"
+
+
+def test_what_was_written_is_read_again(tmp_path):
+    _filled(tmp_path)
+    made = Store(str(tmp_path)).made
+    state = Store(str(tmp_path)).state
+    assert state.instance == "control@a/1#1"
+    assert state.hard == HardState(1, "a/1")
+    assert state.log.last_index == 5
+    assert Store(str(tmp_path)).made == made
+
+
+@pytest.mark.parametrize("cut", [1, 5, HEADER.size, HEADER.size + 3])
+def test_an_unfinished_write_at_the_end_is_cut_off(tmp_path, cut):
+    path = _filled(tmp_path)
+    size = path.stat().st_size
+    os.truncate(path, size - cut)
+    store = Store(str(tmp_path))
+    assert store.state.log.last_index == 4
+    store.write([Append(5, LogEntry(2, 0, b"again"))])
+    store.close()
+    assert Store(str(tmp_path)).state.log.last_term == 2
+
+
+@pytest.mark.parametrize("offset", [2, 6, 14, 60])
+def test_damage_in_the_middle_is_refused(tmp_path, offset):
+    path = _filled(tmp_path)
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 0x40
+    path.write_bytes(data)
+    with pytest.raises(ClayfieldError, match="Move the folder away") as info:
+        Store(str(tmp_path))
+    assert info.value.kind is Kind.STORE_DAMAGED
+    assert path.read_bytes() == data
+
+
+def test_a_snapshot_starts_a_new_and_short_file(tmp_path):
+    _filled(tmp_path)
+    store = Store(str(tmp_path))
+    store.write([Snapshot(4, 1, Members(("a/1",)), b"state")])
+    store.close()
+    assert [p.name for p in tmp_path.glob("log-*")] == ["log-2"]
+    state = Store(str(tmp_path)).state
+    assert state.log.snapshot.data == b"state"
+    assert (state.log.first_index, state.log.last_index) == (5, 5)
+
+
+@pytest.mark.parametrize("failing", ["write", "fdatasync"])
+def test_a_failed_write_is_told_and_ends_writing(
+    tmp_path, monkeypatch, failing
+):
+    _filled(tmp_path)
+    store = Store(str(tmp_path))
+
+    def fail(*args):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, failing, fail)
+    for _ in range(2):
+        with pytest.raises(ClayfieldError, match="Free space") as info:
+            store.write([Append(6, LogEntry(1, 0, b""))])
+        assert info.value.kind is Kind.STORE_FAILED
+
+
+def test_a_log_without_its_mark_is_refused(tmp_path):
+    _filled(tmp_path)
+    (tmp_path / "made").unlink()
+    with pytest.raises(ClayfieldError) as info:
+        Store(str(tmp_path))
+    assert info.value.kind is Kind.STORE_DAMAGED
+
+
+def test_a_gap_between_entries_is_refused(tmp_path):
+    path = _filled(tmp_path)
+    with open(path, "ab") as file:
+        file.write(frame_record(Append(9, LogEntry(1, 0, b""))))
+    with pytest.raises(ClayfieldError, match="Entry 9 follows entry 5"):
+        Store(str(tmp_path))
