--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,78 @@
+"""Random schedules of faults and directed drills; every promise counted."""
+
+import argparse
+import collections
+import concurrent.futures
+import os
+
+from bench.bounds import finish
+from clayfield.testbed.chaos import Chaos
+from clayfield.testbed.drills import DRILLS
+from clayfield.testbed.ledger import PROMISES
+
+STEPS = 200
+NOT_FAULTS = ("submit", "resubmit", "resubmit_at_once", "apply", "heal")
+
+
+def run_schedule(seed: int) -> dict:
+    """Runs one schedule; returns what it did and what it broke."""
+    chaos = Chaos(seed, is_strict=False)
+    unrest = ""
+    try:
+        chaos.run(STEPS)
+    except AssertionError as exc:
+        unrest = f"seed {seed}: {exc}"
+    injected = collections.Counter(chaos.injected)
+    injected.update(
+        {f"message_{k}": v for k, v in chaos.site.network.injected.items()}
+    )
+    return {
+        "steps": chaos.site.events.steps,
+        "injected": injected,
+        "checked": chaos.ledger.checked,
+        "violations": chaos.ledger.violations,
+        "unrest": unrest,
+    }
+
+
+def run_drill(name: str) -> str:
+    """Runs one drill; returns what it broke, "" for nothing."""
+    try:
+        DRILLS[name](1)
+    except AssertionError as exc:
+        return f"{name}: {exc}"
+    return ""
+
+
+def main(arguments: list[str]) -> int:
+    """Runs schedules and drills in several processes."""
+    parser = argparse.ArgumentParser(prog="bench faults")
+    parser.add_argument("--schedules", type=int, default=120)
+    parser.add_argument("--first-seed", type=int, default=1000)
+    flags = parser.parse_args(arguments)
+    seeds = range(flags.first_seed, flags.first_seed + flags.schedules)
+    workers = max(1, (os.cpu_count() or 2) - 2)
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        results = list(pool.map(run_schedule, seeds, chunksize=4))
+        failed = [one for one in pool.map(run_drill, DRILLS) if one]
+    totals = {
+        name: sum((one[name] for one in results), collections.Counter())
+        for name in ("injected", "checked", "violations")
+    }
+    failed += [one["unrest"] for one in results if one["unrest"]]
+    for line in failed:
+        print(f"FAILED {line}")
+    figures = {
+        "schedules": len(results),
+        "drills": len(DRILLS),
+        "steps": sum(one["steps"] for one in results),
+        "faults_injected": {
+            kind: count
+            for kind, count in sorted(totals["injected"].items())
+            if kind not in NOT_FAULTS
+        },
+        "checked": {name: totals["checked"][name] for name in PROMISES},
+        "violations": {name: totals["violations"][name] for name in PROMISES},
+        "failed": len(failed),
+    }
+    return finish("faults", figures)
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,272 @@
+"""Slopes of cost against size, for docs/CAPACITY.md.
+
+Each is measured at five sizes over a factor of 16 and fitted by a line; the
+residual is the largest distance from it, as a share of the largest value.
+"""
+
+import argparse
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+import numpy as np
+
+from bench.bounds import finish
+from bench.config import letter_configuration
+from clayfield.base import ManualClock
+from clayfield.box import Send
+from clayfield.config import (
+    Configuration,
+    PriorityClass,
+    Service,
+    diff,
+    patch,
+)
+from clayfield.dispatch import Scheduler, WorkerInfo
+from clayfield.state import ClaimTable, Open, encode_commands
+from clayfield.testbed import Site, SiteShape
+from clayfield.testbed.box import FakeBox
+from clayfield.wire import encode
+from clayfield.wire.messages import (
+    RELEASE_DONE,
+    Claim,
+    Complete,
+    Outcome,
+    SlotRelease,
+    SlotRequest,
+)
+
+IDLE_MS = 10_000.0
+FRAME_OVERHEAD = 60
+CFG = Configuration(
+    replaces=0,
+    classes={"a": PriorityClass(price=2), "b": PriorityClass(price=1)},
+    services={"s": Service()},
+)
+
+
+class Slope:
+    """A line through measured values."""
+
+    __slots__ = ("base", "residual", "slope", "sizes", "values")
+
+    def __init__(self, sizes: list[int], values: list[float]):
+        self.sizes = sizes
+        self.values = values
+        self.slope, self.base = np.polyfit(sizes, values, 1)
+        fitted = self.slope * np.array(sizes) + self.base
+        distance = np.max(np.abs(fitted - np.array(values)))
+        self.residual = distance / max(np.max(np.abs(values)), 1e-12)
+
+    def as_dict(self) -> dict:
+        """Returns the line and what it was fitted to."""
+        return {
+            "slope": float(f"{self.slope:.4g}"),
+            "base": float(f"{self.base:.4g}"),
+            "residual": round(float(self.residual), 3),
+            "sizes": self.sizes,
+            "values": [float(f"{value:.4g}") for value in self.values],
+        }
+
+
+def _measure(
+    sizes: list[int], measure: Callable[[int], float], rounds: int = 1
+) -> Slope:
+    values = [min(measure(n) for _ in range(rounds)) for n in sizes]
+    return Slope(sizes, values)
+
+
+def claims_cpu_ms(count: int) -> float:
+    """Returns the CPU of a replica to apply claims and their ends."""
+    outcome = Outcome(200, b"x" * 200)
+    batches = []
+    for start in range(0, count, 8):
+        keys = [f"desk/h1:{start + n}" for n in range(8)]
+        claims = [Claim(k, b"d" * 16, "a/1", n) for n, k in enumerate(keys)]
+        ends = [Complete(k, "a/1", n, outcome) for n, k in enumerate(keys)]
+        batches.append(encode_commands([*claims, *ends]))
+    table = ClaimTable()
+    table.apply(encode_commands([Open(1)]))
+    start_s = time.process_time()
+    for batch in batches:
+        table.apply(batch)
+    return (time.process_time() - start_s) * 1000
+
+
+def claims_memory_kb(count: int) -> float:
+    """Returns the memory of a replica that holds claims with answers."""
+    outcome = b"x" * 200
+    gc.collect()
+    tracemalloc.start()
+    table = ClaimTable()
+    table.apply(encode_commands([Open(1)]))
+    for n in range(count):
+        key = f"desk/h1:{n:08}"
+        table.apply(
+            encode_commands(
+                [
+                    Claim(key, b"d" * 16, "a/1", n),
+                    Complete(key, "a/1", n, Outcome(200, outcome)),
+                ]
+            )
+        )
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / 1024
+
+
+def _scheduler(workers: int) -> Scheduler:
+    scheduler = Scheduler(ManualClock(), "h", 1, CFG)
+    scheduler.set_workers(
+        [WorkerInfo(f"w{n}", "", "h", f"r{n // 8}") for n in range(workers)]
+    )
+    return scheduler
+
+
+def scheduler_us_per_task(workers: int) -> float:
+    """Returns the CPU to place and release a task in a hall of workers."""
+    scheduler = _scheduler(workers)
+    jobs = 3000
+    held: list[tuple[int, str]] = []
+    start_s = time.process_time()
+    for number in range(jobs):
+        request = SlotRequest(number, "m", "s", "a", 4, 0.0)
+        scheduler.on_request("a/1", request)
+        scheduler.assign()
+        for _, message in scheduler.outbox:
+            held += message.grants
+        scheduler.outbox.clear()
+        while len(held) > workers * 6:
+            grant, worker = held.pop(0)
+            release = SlotRelease(grant, worker, RELEASE_DONE, 200.0)
+            scheduler.on_release("a/1", release)
+    return (time.process_time() - start_s) * 1e6 / (jobs * 4)
+
+
+def scheduler_us_when_full(waiting: int) -> float:
+    """Returns the CPU of a request and a release behind a queue."""
+    scheduler = _scheduler(20)
+    for number in range(waiting):
+        request = SlotRequest(number, "m", "s", "a", 1, 0.0)
+        scheduler.on_request("a/1", request)
+    scheduler.assign()
+    held = [g for _, m in scheduler.outbox for g in getattr(m, "grants", ())]
+    scheduler.outbox.clear()
+    rounds = 400
+    start_s = time.process_time()
+    for number in range(rounds):
+        request = SlotRequest(waiting + number, "m", "s", "a", 1, 0.0)
+        scheduler.on_request("a/1", request)
+        grant, worker = held.pop(0)
+        release = SlotRelease(grant, worker, RELEASE_DONE, 200.0)
+        scheduler.on_release("a/1", release)
+        scheduler.assign()
+        for _, message in scheduler.outbox:
+            held += getattr(message, "grants", ())
+        scheduler.outbox.clear()
+    return (time.process_time() - start_s) * 1e6 / rounds
+
+
+def _idle_site(boxes: int, halls: int) -> tuple[Site, float, dict]:
+    shape = SiteShape(
+        {f"h{n}": boxes for n in range(halls)}, control=3, workers=1
+    )
+    site = Site(shape, 5)
+    site.settle(limit_ms=60_000.0)
+    counts = {"bytes": 0, "messages": 0}
+    for box in site.boxes.values():
+        _count_sends(box, counts)
+    start_s = time.process_time()
+    site.run(IDLE_MS)
+    cpu_s = time.process_time() - start_s
+    return site, cpu_s, counts
+
+
+def _count_sends(box: FakeBox, counts: dict) -> None:
+    take = box.core.take_actions
+
+    def counted() -> list:
+        actions = take()
+        for action in actions:
+            if isinstance(action, Send):
+                counts["messages"] += 1
+                size = len(encode([action.message])) + FRAME_OVERHEAD
+                counts["bytes"] += size
+        return actions
+
+    box.core.take_actions = counted
+
+
+def idle_bytes_per_s(boxes: int) -> float:
+    """Returns the bytes that an idle box of a hall of boxes sends a second."""
+    site, _, counts = _idle_site(boxes, 1)
+    return counts["bytes"] / len(site.boxes) / (IDLE_MS / 1000)
+
+
+def idle_cpu_percent(boxes: int) -> float:
+    """Returns the decisions' CPU of an idle box, in percent of a core."""
+    site, cpu_s, _ = _idle_site(boxes, 1)
+    return cpu_s / len(site.boxes) / (IDLE_MS / 1000) * 100
+
+
+def idle_bytes_over_halls(halls: int) -> float:
+    """Returns the bytes an idle box sends a second, with halls of 3."""
+    site, _, counts = _idle_site(3, halls)
+    return counts["bytes"] / len(site.boxes) / (IDLE_MS / 1000)
+
+
+def change_ms(services: int) -> float:
+    """Returns the CPU for a box to put a change in force."""
+    base = letter_configuration()
+    base = msgspec.structs.replace(
+        base, services={f"s{n}": Service() for n in range(services)}
+    )
+    wanted = msgspec.structs.replace(base, replaces=base.version, members={})
+    delta = diff(base, wanted)
+    start_s = time.process_time()
+    for _ in range(20):
+        patch(base, delta)
+    return (time.process_time() - start_s) * 1000 / 20
+
+
+SLOPES: dict[str, Callable[[], Slope]] = {
+    "claims_cpu_ms": lambda: _measure(
+        [2000, 4000, 8000, 16_000, 32_000], claims_cpu_ms, 2
+    ),
+    "claims_memory_kb": lambda: _measure(
+        [1000, 2000, 4000, 8000, 16_000], claims_memory_kb
+    ),
+    "scheduler_us_per_task_by_workers": lambda: _measure(
+        [25, 50, 100, 200, 400], scheduler_us_per_task, 2
+    ),
+    "scheduler_us_when_full_by_waiting": lambda: _measure(
+        [100, 200, 400, 800, 1600], scheduler_us_when_full, 2
+    ),
+    "idle_bytes_per_s_by_boxes_in_hall": lambda: _measure(
+        [2, 4, 8, 16, 32], idle_bytes_per_s
+    ),
+    "idle_cpu_percent_by_boxes_in_hall": lambda: _measure(
+        [2, 4, 8, 16, 32], idle_cpu_percent
+    ),
+    "idle_bytes_per_s_by_halls": lambda: _measure(
+        [1, 2, 4, 8, 16], idle_bytes_over_halls
+    ),
+    "change_ms_by_services": lambda: _measure(
+        [50, 100, 200, 400, 800], change_ms, 2
+    ),
+}
+
+
+def main(arguments: list[str]) -> int:
+    """Prints each slope with its fit."""
+    parser = argparse.ArgumentParser(prog="bench slopes")
+    parser.add_argument("--only", default="")
+    flags = parser.parse_args(arguments)
+    figures = {}
+    for name, measure in SLOPES.items():
+        if flags.only in ("", name):
+            figures[name] = measure().as_dict()
+            print(f"{name}: {figures[name]}", flush=True)
+    return finish("slopes", figures)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -220,5 +220,3 @@
 
 def _round(value: float) -> float | None:
     return None if np.isnan(value) else round(float(value), 4)
-
-
--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -6,6 +6,7 @@
 
 import collections
 import random
+from collections.abc import Callable
 
 from clayfield.base import Clock, Kind, Problem
 from clayfield.box.actions import Applied, InForce, Persist, Send
@@ -48,7 +49,9 @@
 WITNESS_PATIENCE = 3.0
 NOT_READY_RETRY_MS = 500
 # Configurations may wait longer for a leader than claims.
-CONTROL_TIMING = Timing(election_ms=1200.0, heartbeat_ms=300.0)
+CONTROL_TIMING = Timing(
+    election_ms=1200.0, heartbeat_ms=300.0, compact_entries=512
+)
 
 
 class _Apply:
@@ -115,6 +118,7 @@
         self._is_persisting = False
         self._is_stopping = False
         self._has_store_failed = False
+        self._handlers = self._make_handlers()
         self.control = self._make_control(stored)
         self.registries = self._make_registries()
         self._take_config()
@@ -366,43 +370,57 @@
 
     # Messages.
 
+    def _make_handlers(self) -> dict[type, Callable[[str, m.Message], None]]:
+        """Returns what each type of message is given to."""
+        entry = self.entry
+        return {
+            m.Grouped: self._on_grouped,
+            m.Heartbeat: self._on_heartbeat,
+            m.ConfigPull: self._on_config_pull,
+            m.ConfigPush: self._on_config_push,
+            m.ApplyRequest: self._on_control_request,
+            m.OpenRequest: self._on_control_request,
+            m.ApplyReply: lambda node, reply: self._on_apply_reply(reply),
+            m.OpenReply: self._on_open_reply,
+            m.Claim: self._on_claim_command,
+            m.Complete: self._on_claim_command,
+            m.Unclaim: self._on_claim_command,
+            m.Lookup: self._on_claim_command,
+            m.ClaimReply: lambda node, reply: entry.on_claim_reply(reply),
+            m.AnswerFetch: entry.on_answer_fetch,
+            m.AnswerReply: lambda node, reply: entry.on_answer_reply(reply),
+            m.SlotGrant: lambda node, grant: entry.on_grant(grant),
+            m.SlotRefuse: lambda node, refuse: entry.on_refuse(refuse),
+            m.SlotRequest: self._on_slot_message,
+            m.SlotCancel: self._on_slot_message,
+            m.SlotRelease: self._on_slot_message,
+            m.SlotSync: self._on_slot_message,
+        }
+
     def _handle(self, node: str, message: m.Message) -> None:
-        match message:
-            case m.Grouped():
-                self._on_grouped(message)
-            case m.Heartbeat():
-                self._on_heartbeat(node, message)
-            case m.ConfigPull():
-                push = self.follower.on_pull(message)
-                if push:
-                    self._send(node, push)
-            case m.ConfigPush():
-                if self.follower.on_push(message):
-                    self._put_in_force()
-            case m.ApplyRequest() | m.OpenRequest():
-                if self.control:
-                    self.control.take(node, message)
-            case m.ApplyReply():
-                self._on_apply_reply(message)
-            case m.OpenReply(hall=hall):
-                if hall in self.registries:
-                    self.registries[hall].on_open_reply(message)
-            case m.Claim() | m.Complete() | m.Unclaim() | m.Lookup():
-                self._on_claim_command(node, message)
-            case m.ClaimReply():
-                self.entry.on_claim_reply(message)
-            case m.AnswerFetch():
-                self.entry.on_answer_fetch(node, message)
-            case m.AnswerReply():
-                self.entry.on_answer_reply(message)
-            case m.SlotGrant():
-                self.entry.on_grant(message)
-            case m.SlotRefuse():
-                self.entry.on_refuse(message)
-            case _:
-                self._on_slot_message(node, message)
-
-    def _on_grouped(self, message: m.Grouped) -> None:
+        self._handlers[type(message)](node, message)
+
+    def _on_config_pull(self, node: str, pull: m.ConfigPull) -> None:
+        push = self.follower.on_pull(pull)
+        if push:
+            self._send(node, push)
+
+    def _on_config_push(self, node: str, push: m.ConfigPush) -> None:
+        if self.follower.on_push(push):
+            self._put_in_force()
+
+    def _on_control_request(
+        self, node: str, request: m.ApplyRequest | m.OpenRequest
+    ) -> None:
+        if self.control:
+            self.control.take(node, request)
+
+    def _on_open_reply(self, node: str, reply: m.OpenReply) -> None:
+        registry = self.registries.get(reply.hall)
+        if registry:
+            registry.on_open_reply(reply)
+
+    def _on_grouped(self, node: str, message: m.Grouped) -> None:
         base = base_of(message.body.group)
         for group in self.groups:
             if group.base == base:
--- a/packages/box/src/clayfield/box/identity.py
+++ b/packages/box/src/clayfield/box/identity.py
@@ -29,9 +29,22 @@
         incarnation: higher at every start of the process.
         disk: when its data folder was made; 0 without one.
         boxes: all boxes by name, this one included.
+        node: this process as a node.
+        halls: the names of all halls, sorted.
+        control_boxes: the boxes that vote on configurations, sorted.
     """
 
-    __slots__ = ("box", "boxes", "disk", "hall", "incarnation")
+    __slots__ = (
+        "_boxes_in",
+        "box",
+        "boxes",
+        "control_boxes",
+        "disk",
+        "hall",
+        "halls",
+        "incarnation",
+        "node",
+    )
 
     def __init__(
         self,
@@ -45,28 +58,21 @@
         self.incarnation = incarnation
         self.disk = disk
         self.boxes = boxes
-
-    @property
-    def node(self) -> str:
-        """This process as a node."""
-        return node_name(self.box, self.incarnation)
+        self.node = node_name(box, incarnation)
+        self.halls = tuple(sorted({peer.hall for peer in boxes.values()}))
+        self._boxes_in = {
+            hall: tuple(sorted(n for n, p in boxes.items() if p.hall == hall))
+            for hall in self.halls
+        }
+        self.control_boxes = tuple(
+            sorted(n for n, peer in boxes.items() if peer.is_control)
+        )
 
     @property
     def control_node(self) -> str:
         """This box's data folder as a node of the control log."""
         return node_name(self.box, self.disk)
 
-    @property
-    def halls(self) -> tuple[str, ...]:
-        """The names of all halls, sorted."""
-        return tuple(sorted({peer.hall for peer in self.boxes.values()}))
-
-    @property
-    def control_boxes(self) -> tuple[str, ...]:
-        """The boxes that vote on configurations, sorted."""
-        names = [n for n, peer in self.boxes.items() if peer.is_control]
-        return tuple(sorted(names))
-
     def hall_of(self, box: str) -> str:
         """Returns the hall of a box, "" if it is not known."""
         peer = self.boxes.get(box)
@@ -74,5 +80,4 @@
 
     def boxes_in(self, hall: str) -> tuple[str, ...]:
         """Returns the boxes of a hall, sorted."""
-        names = [n for n, peer in self.boxes.items() if peer.hall == hall]
-        return tuple(sorted(names))
+        return self._boxes_in.get(hall, ())
--- a/packages/config/src/clayfield/config/parse.py
+++ b/packages/config/src/clayfield/config/parse.py
@@ -126,7 +126,9 @@
         services = values.get("services") or {}
         classes = values.get("classes") or {}
         if not values.get("halls"):
-            self._fault_at("halls", "no halls", "Declare every hall under halls.")
+            self._fault_at(
+                "halls", "no halls", "Declare every hall under halls."
+            )
         if not any(
             operator.get("tokens")
             for operator in (values.get("operators") or {}).values()
--- a/packages/daemon/src/clayfield/daemon/process.py
+++ b/packages/daemon/src/clayfield/daemon/process.py
@@ -1,5 +1,6 @@
 """Puts a box together: its runtime, its ports and its end."""
 
+import gc
 import random
 import signal
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 from clayfield.daemon.store import Store
 from clayfield.daemon.tracing import Tracing
 
+GC_ALLOCATIONS = 20_000
+
 
 class Process:
     """The process of one box.
@@ -50,6 +53,9 @@
 
     def run(self) -> None:
         """Runs until stopped, by SIGTERM as planned."""
+        # Claims live long and hold no cycles: scan them seldom.
+        gc.freeze()
+        gc.set_threshold(GC_ALLOCATIONS)
         reactor.callWhenRunning(self._start)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: _from_signal(self.stop))
--- a/packages/daemon/src/clayfield/daemon/runtime.py
+++ b/packages/daemon/src/clayfield/daemon/runtime.py
@@ -71,7 +71,12 @@
         self.operators = Operators(self.core)
         self.core.entry.counters.listener = self._on_finished
         self._peers = Peers(
-            reactor, cfg.cluster, identity, self._on_messages, self._on_peer_closed, _peer_files(cfg)
+            reactor,
+            cfg.cluster,
+            identity,
+            self._on_messages,
+            self._on_peer_closed,
+            _peer_files(cfg),
         )
         shared_by = len(identity.boxes_in(identity.hall))
         self._workers = WorkerClient(
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -22,8 +22,8 @@
 )
 from clayfield.state._replication import Progress
 from clayfield.state.log import Log
-from clayfield.state.membership import box_of
 from clayfield.state.machine import StateMachine
+from clayfield.state.membership import box_of
 from clayfield.state.records import Append, HardState, Record, Snapshot
 from clayfield.wire.messages import (
     ENTRY_COMMAND,
--- a/packages/state/src/clayfield/state/homes.py
+++ b/packages/state/src/clayfield/state/homes.py
@@ -42,6 +42,8 @@
             name its hall, as `HALL:rest` or `HALL.START:rest`.
         halls: the names of all halls, in any order.
     """
+    if len(halls) == 1:
+        return halls[0]
     prefix = _prefix(key)
     for name in (prefix, prefix.rpartition(START_SEPARATOR)[0]):
         if name in halls:
