--- a/packages/dispatch/src/clayfield/dispatch/breaker.py
+++ b/packages/dispatch/src/clayfield/dispatch/breaker.py
@@ -29,16 +29,15 @@
 
     @property
     def is_closed(self) -> bool:
-        """Whether all slots are allowed."""
-        return self._allowed >= self.slots
+        """Whether all slots are allowed, and no pause goes on."""
+        return self._allowed >= self.slots and not self._open_until_ms
 
     def allowance(self, now_ms: float) -> int:
         """Returns how many slots may be held now."""
-        return 0 if now_ms < self._open_until_ms else self._allowed
-
-    def reopens_at_ms(self) -> float:
-        """Returns when a pause ends, in the past when there is none."""
-        return self._open_until_ms
+        if now_ms < self._open_until_ms:
+            return 0
+        self._open_until_ms = 0.0
+        return self._allowed
 
     def on_success(self) -> None:
         """Learns that a task ended well."""
--- a/packages/dispatch/src/clayfield/dispatch/queue.py
+++ b/packages/dispatch/src/clayfield/dispatch/queue.py
@@ -147,7 +147,11 @@
             for _, _, waiting in self._heaps.get(rank, ())
             if waiting.is_open and not waiting.granted
         )
-        return max(unstarted, key=lambda w: w.arrived_ms, default=None)
+        return max(
+            unstarted,
+            key=lambda w: (w.arrived_ms, w.request.request),
+            default=None,
+        )
 
     def ahead_ms(self, waiting: Waiting) -> float:
         """Returns the slot time that goes before a request."""
@@ -155,7 +159,7 @@
         same_rank = sum(
             other.work_ms
             for order, _, other in self._heaps.get(waiting.rank, ())
-            if order < own_order and other.is_open
+            if order <= own_order and other.is_open and other is not waiting
         )
         return self.total_ms(waiting.rank - 1) + same_rank
 
--- a/packages/testbed/src/clayfield/testbed/demo.py
+++ b/packages/testbed/src/clayfield/testbed/demo.py
@@ -49,9 +49,12 @@
 
 
 def run_jobs(
-    jobs: list[dict], kinds: tuple[Kind, ...], ports: list[int]
+    jobs: list[dict],
+    kinds: tuple[Kind, ...],
+    ports: list[int],
+    key_prefix: str = "",
 ) -> list[Outcome]:
-    """Submits jobs at their times, to the boxes in turn."""
+    """Submits jobs at their times, to the boxes in turn; once a process."""
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     from twisted.internet import asyncioreactor
@@ -81,7 +84,7 @@
                 reactor.stop()
 
         callers[port, one.kind.token].submit(
-            one.job["key"], json.dumps(body).encode(), answered
+            f"{key_prefix}{one.job['key']}", json.dumps(body).encode(), answered
         )
 
     for number, one in enumerate(outcomes):
--- a/packages/testbed/src/clayfield/testbed/processes.py
+++ b/packages/testbed/src/clayfield/testbed/processes.py
@@ -7,6 +7,7 @@
 import sys
 import time
 import urllib.request
+from collections.abc import Callable
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
@@ -212,6 +213,7 @@
         workers: int = 3,
         control: int = 3,
         extra: tuple[str, ...] = (),
+        extra_of: Callable[[str], tuple[str, ...]] = lambda name: (),
     ):
         folder.mkdir(parents=True, exist_ok=True)
         self.workers = StandIns(list(halls), workers)
@@ -228,7 +230,12 @@
         boxes = ",".join(items)
         self.boxes = {
             name: BoxProcess(
-                name, boxes, folder, self.workers.list_url, first_config, extra
+                name,
+                boxes,
+                folder,
+                self.workers.list_url,
+                first_config,
+                (*extra, *extra_of(name)),
             )
             for name, _ in names
         }
@@ -245,6 +252,14 @@
     def __exit__(self, *error: object) -> None:
         self.stop()
 
+    def wait_for_log(self, log: pathlib.Path, event: str) -> None:
+        """Waits until a box's log holds an event.
+
+        Raises:
+            TimeoutError: it does not come.
+        """
+        wait_for(lambda: f'"{event}"' in log.read_text(), event)
+
     def stop(self) -> None:
         """Ends every process that it started."""
         for box in self.boxes.values():
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,201 @@
+"""Real clayfieldd processes on loopback: the interfaces, kills and stops."""
+
+import concurrent.futures
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from clayfield.testbed.processes import Cluster, wait_for
+
+CONFIG = str(pathlib.Path(__file__).parent.parent / "examples/ordervaart.yaml")
+TOKEN = "desk-amsterdam"
+BODY = {
+    "member": "amsterdam",
+    "job": "check-order",
+    "tasks": [{"run_ms": 5}, {"run_ms": 20}],
+}
+OPTIONS = ("--request-ms", "500")
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("boxes")
+    with Cluster(folder, CONFIG, {"west-1": 3}, 3, extra=OPTIONS) as running:
+        yield running
+
+
+def _post(box, key, body, token=TOKEN, **headers):
+    conn = http.client.HTTPConnection("127.0.0.1", box.callers, timeout=30)
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    fields = {"Authorization": f"Bearer {token}", **headers}
+    if key is not None:
+        fields["Idempotency-Key"] = key
+    conn.request("POST", "/v1/submissions", raw, fields)
+    response = conn.getresponse()
+    answer = response.read()
+    conn.close()
+    return response.status, answer, response.headers
+
+
+def _get(box, path, token=TOKEN):
+    conn = http.client.HTTPConnection("127.0.0.1", box.callers, timeout=30)
+    conn.request("GET", path, headers={"Authorization": f"Bearer {token}"})
+    response = conn.getresponse()
+    answer = response.read()
+    conn.close()
+    return response.status, answer
+
+
+def _box(cluster, number):
+    return list(cluster.boxes.values())[number]
+
+
+@pytest.mark.parametrize(
+    ("key", "body", "token", "status", "code"),
+    [
+        (None, BODY, TOKEN, 400, "CF103"),
+        ("k\u00e9".encode().decode("latin-1"), BODY, TOKEN, 400, "CF103"),
+        ("k" * 201, BODY, TOKEN, 400, "CF103"),
+        ("k", b"{", TOKEN, 400, "CF101"),
+        ("k", b"\xff\xfe", TOKEN, 400, "CF101"),
+        ("k", [], TOKEN, 422, "CF102"),
+        ("k", {**BODY, "tasks": []}, TOKEN, 422, "CF102"),
+        ("k", {**BODY, "tasks": "no"}, TOKEN, 422, "CF102"),
+        ("k", {**BODY, "extra": 1}, TOKEN, 422, "CF102"),
+        ("k", {**BODY, "deadline_ms": -1}, TOKEN, 422, "CF102"),
+        ("k", {**BODY, "repeatable": "yes"}, TOKEN, 422, "CF102"),
+        ("k", BODY, "wrong", 401, "CF106"),
+        ("k", BODY, "desk-rotterdam", 403, "CF107"),
+        ("k-job", {**BODY, "job": "none"}, TOKEN, 404, "CF108"),
+        ("k-many", {**BODY, "tasks": [1] * 1701}, TOKEN, 413, "CF104"),
+        ("k", b"x" * 1_100_000, TOKEN, 413, "CF104"),
+    ],
+)
+def test_bad_input_gets_its_typed_error(
+    cluster, key, body, token, status, code
+):
+    got, answer, headers = _post(_box(cluster, 0), key, body, token)
+    problem = json.loads(answer)
+    assert (got, problem["code"]) == (status, code)
+    assert problem["ran"] == "no"
+    assert problem["remedy"]
+    assert headers["content-type"] == "application/problem+json"
+
+
+def test_a_request_that_stays_unfinished_is_ended(cluster):
+    conn = http.client.HTTPConnection(
+        "127.0.0.1", _box(cluster, 0).callers, timeout=30
+    )
+    conn.putrequest("POST", "/v1/submissions")
+    conn.putheader("Content-Length", "1000")
+    conn.endheaders(b"{")
+    response = conn.getresponse()
+    assert json.loads(response.read())["code"] == "CF105"
+    conn.close()
+
+
+def test_a_resubmission_anywhere_gets_the_same_bytes(cluster):
+    first = _post(_box(cluster, 0), "west-1:same", BODY)
+    assert first[0] == 200
+    assert json.loads(first[1])["answers"] == BODY["tasks"]
+    for number in (1, 2):
+        assert (
+            _post(_box(cluster, number), "west-1:same", BODY)[:2] == (first[:2])
+        )
+        path = "/v1/submissions/west-1:same"
+        assert _get(_box(cluster, number), path) == first[:2]
+    other = {**BODY, "tasks": [1]}
+    status, answer, _ = _post(_box(cluster, 1), "west-1:same", other)
+    assert (status, json.loads(answer)["code"]) == (409, "CF109")
+
+
+def test_a_member_never_reads_what_another_submitted(cluster):
+    assert _post(_box(cluster, 0), "west-1:mine", BODY)[0] == 200
+    path = "/v1/submissions/west-1:mine"
+    assert _get(_box(cluster, 0), path, "desk-rotterdam")[0] == 404
+
+
+def test_the_command_line_applies_whole_files_or_nothing(
+    cluster, tmp_path, capsys
+):
+    url = f"http://127.0.0.1:{_box(cluster, 1).operators}"
+    common = ["--box-urls", url, "--token", "operator", "--output", "json"]
+    text = pathlib.Path(CONFIG).read_text()
+    sound = tmp_path / "sound.yaml"
+    sound.write_text(text.replace("replaces: 0", "replaces: 1"))
+    faulty = tmp_path / "faulty.yaml"
+    faulty.write_text(text.replace("price: 20", "price: cheap"))
+    cases = [
+        (["check", str(faulty)], 1, "faults"),
+        (["apply", str(faulty)], 1, "faults"),
+        (["apply", "--wait", str(sound)], 0, '"version": 2'),
+        (["apply", str(sound)], 0, '"version": 2'),
+        (["apply", CONFIG], 0, '"version": 1'),
+        (["show"], 0, '"replaces": 1'),
+        (["status"], 0, '"is_ready": true'),
+    ]
+    for arguments, code, printed in cases:
+        got = _run_cli([*arguments, *common])
+        assert got.returncode == code, (arguments, got.stdout, got.stderr)
+        assert printed in got.stdout, arguments
+
+
+def _run_cli(arguments):
+    command = [sys.executable, "-m", "clayfield.cli.main", *arguments]
+    return subprocess.run(command, capture_output=True, text=True)
+
+
+def test_metrics_and_health(cluster):
+    box = _box(cluster, 0)
+    conn = http.client.HTTPConnection("127.0.0.1", box.operators, timeout=30)
+    for path, part in (
+        ("/healthz", b"ok"),
+        ("/readyz", b"ready"),
+        ("/metrics", b"clayfield_slowdown"),
+    ):
+        conn.request("GET", path)
+        assert part in conn.getresponse().read()
+    conn.close()
+
+
+def test_kill_and_planned_stop_lose_and_double_nothing(tmp_path):
+    with (
+        Cluster(tmp_path, CONFIG, {"west-1": 3}, 3, extra=OPTIONS) as cluster,
+        concurrent.futures.ThreadPoolExecutor(40) as pool,
+    ):
+        slow = {**BODY, "tasks": [{"run_ms": 400}] * 2}
+        stopped, killed, other = cluster.boxes.values()
+        in_flight = [
+            pool.submit(_post, stopped, f"west-1:s{n}", slow) for n in range(8)
+        ]
+
+        def counts():
+            return json.loads(cluster.workers.counts())
+
+        wait_for(lambda: counts()["starts"] >= 16, "all started")
+        stopped.begin_stop()
+        assert [one.result()[0] for one in in_flight] == [200] * 8
+        assert stopped.wait() == 0
+        stopped.start()
+        stopped.wait_ready()
+        in_flight = [
+            pool.submit(_post, killed, f"west-1:k{n}", slow) for n in range(8)
+        ]
+        wait_for(lambda: counts()["starts"] >= 32, "all started")
+        killed.kill()
+        for one in in_flight:
+            assert one.exception() is not None
+        for n in range(8):
+            status, answer, _ = _post(other, f"west-1:k{n}", slow)
+            assert status == 502
+            assert json.loads(answer)["ran"] == "maybe"
+        killed.start()
+        killed.wait_ready()
+        for n in range(8):
+            assert _post(killed, f"west-1:s{n}", slow)[0] == 200
+        assert counts()["starts"] == 32
+        assert counts()["doubled"] == 0
