--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,16 @@
 import importlib
 import sys
 
-NAMES = ("path", "policy", "faults", "claims", "config", "wire", "slopes")
+NAMES = (
+    "path",
+    "policy",
+    "alternatives",
+    "faults",
+    "claims",
+    "config",
+    "wire",
+    "slopes",
+)
 
 
 def main() -> None:
--- a/bench/path.py
+++ b/bench/path.py
@@ -1,7 +1,8 @@
-"""The cost of the path: one box, real processes, tasks that take no time.
+"""The cost of the path: real processes, tasks that take no time.
 
-`ratio_to_floor` compares the box's CPU a task with a floor measured in the
-same run: a bare twisted.web echo server plus a bare request to a worker.
+All jobs go to one box; with several boxes their CPU is added up.
+`ratio_to_floor` compares it a task with a floor measured in the same run: a
+bare twisted.web echo a job plus a bare request to a worker a task.
 """
 
 import argparse
@@ -17,32 +18,40 @@
 from clayfield.testbed.processes import Cluster
 
 CONFIG = "examples/ordervaart.yaml"
-TASKS_PER_JOB = 1
 CONNECTIONS = 24
 
 
 def main(arguments: list[str]) -> int:
-    """Loads one box and prints what a task costs."""
+    """Loads a box and prints what a task costs."""
     parser = argparse.ArgumentParser(prog="bench path")
     parser.add_argument("--tasks", type=int, default=20_000)
+    parser.add_argument("--boxes", type=int, default=1)
+    parser.add_argument("--tasks-per-job", type=int, default=1)
     flags = parser.parse_args(arguments)
     with (
         tempfile.TemporaryDirectory() as folder,
         Cluster(
-            pathlib.Path(folder), CONFIG, {"west-1": 1}, 8, control=1
+            pathlib.Path(folder),
+            CONFIG,
+            {"west-1": flags.boxes},
+            8,
+            control=1,
         ) as cluster,
     ):
-        box = next(iter(cluster.boxes.values()))
+        boxes = list(cluster.boxes.values())
+        box = boxes[-1]
         time.sleep(1.0)
-        _load(box.callers, 2000, "warm")
+        _load(box.callers, 2000, "warm", flags.tasks_per_job)
         memory_before = box.resident_mb()
-        cpu_s = box.cpu_s()
-        took_s, failed = _load(box.callers, flags.tasks, "main")
-        cpu_s = box.cpu_s() - cpu_s
+        cpu_s = sum(one.cpu_s() for one in boxes)
+        took_s, failed = _load(
+            box.callers, flags.tasks, "main", flags.tasks_per_job
+        )
+        cpu_s = sum(one.cpu_s() for one in boxes) - cpu_s
         memory_after = box.resident_mb()
         counts = json.loads(cluster.workers.counts())
-    tasks = flags.tasks - failed * TASKS_PER_JOB
-    floor_ms = _floor_ms()
+    tasks = flags.tasks - failed * flags.tasks_per_job
+    floor_ms = _floor_ms(flags.tasks_per_job)
     cpu_ms = cpu_s * 1000 / tasks
     figures = {
         "cpu_ms_per_task": round(cpu_ms, 4),
@@ -55,21 +64,23 @@
         "memory_growth_mb": round(memory_after - memory_before, 2),
         "memory_mb": round(memory_after, 1),
         "tasks": tasks,
+        "tasks_per_job": flags.tasks_per_job,
+        "boxes": flags.boxes,
     }
     return finish("path", figures)
 
 
-def _load(port: int, tasks: int, name: str) -> tuple[float, int]:
+def _load(port: int, tasks: int, name: str, per_job: int) -> tuple[float, int]:
     """Submits tasks in jobs; returns seconds and jobs that failed."""
     command = [sys.executable, "-m", "bench.loader", str(port), name]
-    command += [str(tasks), str(TASKS_PER_JOB), str(CONNECTIONS)]
+    command += [str(tasks), str(per_job), str(CONNECTIONS)]
     done = subprocess.run(command, capture_output=True, check=True)
     result = json.loads(done.stdout.splitlines()[-1])
     return result["took_s"], result["failed"]
 
 
-def _floor_ms() -> float:
-    """Returns CPU of one echo a job and one worker request a task."""
+def _floor_ms(tasks_per_job: int) -> float:
+    """Returns a task's share of an echo a job, and a worker request."""
     with subprocess.Popen(
         [sys.executable, "-c", ECHO], stdout=subprocess.PIPE
     ) as echo:
@@ -78,4 +89,4 @@
         client_ms = measure_client_ms(port)
         echo.terminate()
     print(f"floor: echo {echo_ms:.3f} ms, worker request {client_ms:.3f} ms")
-    return echo_ms + client_ms
+    return echo_ms / tasks_per_job + client_ms
