--- a/bench/path.py
+++ b/bench/path.py
@@ -27,12 +27,13 @@
     parser.add_argument("--tasks", type=int, default=20_000)
     parser.add_argument("--boxes", type=int, default=1)
     parser.add_argument("--tasks-per-job", type=int, default=1)
+    parser.add_argument("--config", default=CONFIG)
     flags = parser.parse_args(arguments)
     with (
         tempfile.TemporaryDirectory() as folder,
         Cluster(
             pathlib.Path(folder),
-            CONFIG,
+            flags.config,
             {"west-1": flags.boxes},
             8,
             control=1,
--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -18,6 +18,7 @@
 from clayfield.dispatch import (
     Action,
     Entry,
+    JobRequest,
     Submission,
     TaskEnd,
     ToNode,
@@ -201,37 +202,11 @@
 
     # Events.
 
-    def submit(
-        self,
-        member: str,
-        key: str,
-        body: bytes,
-        service: str,
-        priority: str,
-        is_repeatable: bool,
-        deadline_ms: float,
-        tasks: list[bytes],
-        waiter: object,
-        is_first: bool = False,
-        traceparent: str = "",
-        refusal: Problem | None = None,
-    ) -> Submission | None:
+    def submit(self, req: JobRequest, waiter: object) -> Submission | None:
         """Takes a submission; see `Entry.submit`."""
-        refusal = refusal or self._why_not(service, priority)
-        return self.entry.submit(
-            owned_key(member, key),
-            body,
-            member,
-            service,
-            priority,
-            is_repeatable,
-            deadline_ms,
-            tasks,
-            waiter,
-            is_first,
-            traceparent,
-            refusal,
-        )
+        req.refusal = req.refusal or self._why_not(req.service, req.priority)
+        key = owned_key(req.member, req.key)
+        return self.entry.submit(key, req, waiter)
 
     def _why_not(self, service: str, priority: str) -> Problem | None:
         if not self.cfg.version:
--- a/packages/daemon/src/clayfield/daemon/callers.py
+++ b/packages/daemon/src/clayfield/daemon/callers.py
@@ -19,7 +19,7 @@
     write_json,
 )
 from clayfield.daemon.tracing import Tracing
-from clayfield.dispatch import read_problem, retry_after_s
+from clayfield.dispatch import JobRequest, read_problem, retry_after_s
 from clayfield.state import owned_key
 from clayfield.wire.messages import Outcome
 
@@ -200,18 +200,20 @@
             self._on_hung_up, waiter, owned_key(wanted.member, key)
         )
         core.submit(
-            wanted.member,
-            key,
-            body,
-            wanted.service,
-            wanted.priority,
-            bool(wanted.repeatable),
-            float(wanted.deadline_ms or 0),
-            [bytes(task) for task in wanted.tasks],
+            JobRequest(
+                wanted.member,
+                key,
+                body,
+                wanted.service,
+                wanted.priority,
+                [bytes(task) for task in wanted.tasks],
+                bool(wanted.repeatable),
+                float(wanted.deadline_ms or 0),
+                is_first,
+                traceparent,
+                refusal,
+            ),
             waiter,
-            is_first,
-            traceparent,
-            refusal,
         )
         self._callers.kick()
 
--- a/packages/daemon/src/clayfield/daemon/http.py
+++ b/packages/daemon/src/clayfield/daemon/http.py
@@ -16,6 +16,7 @@
 BEARER = "Bearer "
 MS_PER_S = 1000.0
 HTTP_OK = 200
+LINGER_S = 2.0
 
 
 class LimitedRequest(server.Request):
@@ -26,6 +27,7 @@
     ):
         super().__init__(channel, queued)
         self._taken = 0
+        self._is_refused = False
         self._timer: interfaces.IDelayedCall | None = None
 
     @property
@@ -40,6 +42,7 @@
                 limits.request_ms / MS_PER_S, self._on_too_slow
             )
         if length is not None and length > limits.body_bytes():
+            super().gotLength(0)
             self._refuse(Kind.TOO_LARGE, f"body_bytes {limits.body_bytes()}")
             return
         super().gotLength(length)
@@ -47,6 +50,8 @@
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Takes a piece of the body."""
         self._taken += len(data)
+        if self._is_refused:
+            return
         if self._taken > self._limits.body_bytes():
             detail = f"body_bytes {self._limits.body_bytes()}"
             self._refuse(Kind.TOO_LARGE, detail)
@@ -58,6 +63,9 @@
     ) -> None:
         """Handles the request once it is whole."""
         self._cancel_timer()
+        if self._is_refused:
+            self.channel.loseConnection()
+            return
         super().requestReceived(command, path, version)
 
     def connectionLost(self, reason: object) -> None:  # noqa: N802
@@ -73,10 +81,15 @@
         self._refuse(Kind.TOO_SLOW, f"request_ms {self._limits.request_ms}")
 
     def _refuse(self, kind: Kind, detail: str) -> None:
-        """Answers before the request is whole, and ends the connection."""
+        """Answers before the request is whole, and ends the connection.
+
+        What the caller still sends is read and dropped for a while, since
+        closing at once could keep the answer from reaching it.
+        """
         self._cancel_timer()
         if self.startedWriting or self.channel is None:
             return
+        self._is_refused = True
         outcome = render_problem(Problem(kind, detail))
         head = (
             f"HTTP/1.1 {outcome.status} {kind.title}\r\n"
@@ -86,7 +99,11 @@
         )
         self.startedWriting = 1
         self.channel.transport.write(head.encode() + outcome.body)
-        self.channel.loseConnection()
+        self._timer = self._limits.reactor.callLater(LINGER_S, self._end)
+
+    def _end(self) -> None:
+        if self.channel:
+            self.channel.loseConnection()
 
 
 class RequestLimits:
--- a/packages/daemon/src/clayfield/daemon/process.py
+++ b/packages/daemon/src/clayfield/daemon/process.py
@@ -8,7 +8,6 @@
 from twisted.internet import defer, error, interfaces, reactor
 from twisted.web import resource
 
-from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
 from clayfield.box import Identity
 from clayfield.daemon import callers, operators
@@ -160,7 +159,6 @@
 
         exporter = OTLPSpanExporter(endpoint=cfg.trace_endpoint)
     return Tracing(
-        MonotonicClock(),
         cfg.box,
         exporter,
         cfg.trace_percent,
--- a/packages/daemon/src/clayfield/daemon/tracing.py
+++ b/packages/daemon/src/clayfield/daemon/tracing.py
@@ -7,7 +7,6 @@
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanExporter
 
-from clayfield.base import Clock
 from clayfield.dispatch import StartTask, Submission, TaskEnd
 from clayfield.wire.messages import Outcome
 
@@ -25,13 +24,11 @@
 
     def __init__(
         self,
-        clock: Clock,
         box: str,
         exporter: SpanExporter | None,
         percent: int,
         rng: random.Random,
     ):
-        self._clock = clock
         self._rng = rng
         self._percent = percent
         self._roots: dict[str, trace.Span] = {}
@@ -100,18 +97,18 @@
         if root is None:
             return
         if sub.is_claimed:
-            self._add_claim(root, sub)
+            self._add_hop(root, "claim", sub.claimed_ms - sub.arrived_ms)
+        if sub.granted_ms:
+            self._add_hop(root, "slots", sub.granted_ms - sub.arrived_ms)
         root.set_attribute("clayfield.status", outcome.status)
         root.end()
 
-    def _add_claim(self, root: trace.Span, sub: Submission) -> None:
-        took_ns = int((sub.claimed_ms - sub.arrived_ms) * NS_PER_MS)
-        span = self._tracer.start_span(
-            "claim",
-            trace.set_span_in_context(root),
-            start_time=root.start_time,
-        )
-        span.end(root.start_time + took_ns)
+    def _add_hop(self, root: trace.Span, name: str, took_ms: float) -> None:
+        """Adds a hop that began with the submission."""
+        context = trace.set_span_in_context(root)
+        start_ns = root.start_time
+        span = self._tracer.start_span(name, context, start_time=start_ns)
+        span.end(start_ns + int(took_ms * NS_PER_MS))
 
     def close(self) -> None:
         """Sends what is left."""
--- a/packages/dispatch/src/clayfield/dispatch/__init__.py
+++ b/packages/dispatch/src/clayfield/dispatch/__init__.py
@@ -20,13 +20,14 @@
     retry_after_s,
 )
 from clayfield.dispatch.scheduler import Scheduler
-from clayfield.dispatch.submission import Phase, Submission
+from clayfield.dispatch.submission import JobRequest, Phase, Submission
 from clayfield.dispatch.workers import WorkerInfo
 
 __all__ = [
     "Action",
     "Answer",
     "Entry",
+    "JobRequest",
     "Phase",
     "Scheduler",
     "StartTask",
--- a/packages/dispatch/src/clayfield/dispatch/entry.py
+++ b/packages/dispatch/src/clayfield/dispatch/entry.py
@@ -29,7 +29,7 @@
     render_problem,
 )
 from clayfield.dispatch.settlements import Settlements
-from clayfield.dispatch.submission import Phase, Submission
+from clayfield.dispatch.submission import JobRequest, Phase, Submission
 from clayfield.dispatch.workers import WorkerInfo
 from clayfield.wire.messages import (
     CLAIM_DONE,
@@ -169,42 +169,19 @@
     # Submissions.
 
     def submit(
-        self,
-        key: str,
-        body: bytes,
-        member: str,
-        service: str,
-        priority: str,
-        is_repeatable: bool,
-        deadline_ms: float,
-        tasks: list[bytes],
-        waiter: object,
-        is_first: bool = False,
-        traceparent: str = "",
-        refusal: Problem | None = None,
+        self, key: str, req: JobRequest, waiter: object
     ) -> Submission | None:
-        """Takes a checked submission; its waiter gets one answer.
+        """Takes a submission; its waiter gets one answer.
 
         Args:
             key: the caller's key with its member.
-            body: the whole request, to tell a reused key.
-            member: whose it is.
-            service: a declared service.
-            priority: a declared class.
-            is_repeatable: whether the caller marked it so.
-            deadline_ms: time it may take; 0 for no bound.
-            tasks: the payloads.
+            req: what is asked.
             waiter: given back with the answer.
-            is_first: the caller never sent this key before; then a refusal
-                may say that nothing ran even if the registry is out of reach.
-            traceparent: of the caller's trace, or "".
-            refusal: why it cannot run now. It is told only once the registry
-                has said that the key did not run earlier.
 
         Returns:
             The submission, None when it was answered at once.
         """
-        digest = hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
+        digest = hashlib.blake2b(req.body, digest_size=DIGEST_BYTES).digest()
         known = self._by_key.get(key)
         if known:
             self._join(known, digest, waiter)
@@ -214,37 +191,29 @@
             self._answer_ended(ended, digest, waiter)
             return None
         if self.is_stopping:
-            ran = Ran.NO if is_first else Ran.MAYBE
+            ran = Ran.NO if req.is_first else Ran.MAYBE
             problem = Problem(Kind.STOPPING, "", ran, MIN_STOP_RETRY_MS)
             self.actions.append(Answer(waiter, render_problem(problem)))
             return None
-        now_ms = self._clock.now_ms()
-        sub = Submission(
-            self._next_number,
-            key,
-            digest,
-            member,
-            service,
-            priority,
-            is_repeatable,
-            now_ms + deadline_ms if deadline_ms else float("inf"),
-            tasks,
-            now_ms,
-            is_first,
-            traceparent,
-        )
+        return self._open(key, digest, req, waiter)
+
+    def _open(
+        self, key: str, digest: bytes, req: JobRequest, waiter: object
+    ) -> Submission:
+        number = self._next_number
         self._next_number += 1
+        sub = Submission(number, key, digest, req, self._clock.now_ms())
         sub.waiters.append(waiter)
         self._by_key[key] = sub
-        self._by_number[sub.number] = sub
+        self._by_number[number] = sub
         self.counters.submitted += 1
         self._send_claim(sub)
-        if refusal is None:
+        if req.refusal is None:
             self._send_request(sub)
-        elif is_first:
-            self._refuse(sub, refusal)
+        elif req.is_first:
+            self._refuse(sub, req.refusal)
         else:
-            sub.refusal = refusal
+            sub.refusal = req.refusal
         return sub
 
     def _join(self, sub: Submission, digest: bytes, waiter: object) -> None:
@@ -442,6 +411,8 @@
         """Takes slots; those not wanted any more go back unused."""
         sub = self._by_number.get(grant.request)
         now_ms = self._clock.now_ms()
+        if sub and not sub.granted_ms:
+            sub.granted_ms = now_ms
         for number, worker in grant.grants:
             if number in self._held:
                 continue
--- a/packages/dispatch/src/clayfield/dispatch/submission.py
+++ b/packages/dispatch/src/clayfield/dispatch/submission.py
@@ -14,6 +14,66 @@
     DONE = "done"
 
 
+class JobRequest:
+    """What a caller asks for, checked for its form.
+
+    Attributes:
+        member: whose it is.
+        key: the caller's key.
+        body: the whole request, to tell a reused key.
+        service: what its tasks need; perhaps not declared.
+        priority: its class; perhaps not declared.
+        tasks: the payloads, in task order.
+        is_repeatable: whether the caller marked it so.
+        deadline_ms: time it may take; 0 for no bound.
+        is_first: the caller never sent this key before; then a refusal may
+            say that nothing ran even if the registry is out of reach.
+        traceparent: of the caller's trace, or "".
+        refusal: why it cannot run now. It is told only once the registry has
+            said that the key did not run earlier.
+    """
+
+    __slots__ = (
+        "body",
+        "deadline_ms",
+        "is_first",
+        "is_repeatable",
+        "key",
+        "member",
+        "priority",
+        "refusal",
+        "service",
+        "tasks",
+        "traceparent",
+    )
+
+    def __init__(
+        self,
+        member: str,
+        key: str,
+        body: bytes,
+        service: str,
+        priority: str,
+        tasks: list[bytes],
+        is_repeatable: bool = False,
+        deadline_ms: float = 0.0,
+        is_first: bool = False,
+        traceparent: str = "",
+        refusal: Problem | None = None,
+    ):
+        self.member = member
+        self.key = key
+        self.body = body
+        self.service = service
+        self.priority = priority
+        self.tasks = tasks
+        self.is_repeatable = is_repeatable
+        self.deadline_ms = deadline_ms
+        self.is_first = is_first
+        self.traceparent = traceparent
+        self.refusal = refusal
+
+
 class Submission:
     """A job that a caller submitted to this box.
 
@@ -36,6 +96,7 @@
         arrived_ms: when it came.
         asked_ms: when the claim was last sent.
         claimed_ms: when the claim was granted.
+        granted_ms: when the first slot was granted.
         longest_ms: the longest time of its tasks so far.
         heard_ms: when the owner it follows last spoke of it.
         granted: (grant, worker) held for tasks not yet started.
@@ -58,6 +119,7 @@
         "deadline_ms",
         "digest",
         "granted",
+        "granted_ms",
         "heard_ms",
         "is_claimed",
         "is_first",
@@ -86,27 +148,31 @@
         number: int,
         key: str,
         digest: bytes,
-        member: str,
-        service: str,
-        priority: str,
-        is_repeatable: bool,
-        deadline_ms: float,
-        tasks: list[bytes],
+        req: JobRequest,
         now_ms: float,
-        is_first: bool = False,
-        traceparent: str = "",
     ):
+        """Starts a submission.
+
+        Args:
+            number: this box's number for it.
+            key: the caller's key with its member.
+            digest: of the body.
+            req: what was asked.
+            now_ms: the time on this box's clock.
+        """
         self.number = number
         self.key = key
         self.digest = digest
-        self.member = member
-        self.service = service
-        self.priority = priority
-        self.is_repeatable = is_repeatable
-        self.deadline_ms = deadline_ms
-        self.tasks = tasks
+        self.member = req.member
+        self.service = req.service
+        self.priority = req.priority
+        self.is_repeatable = req.is_repeatable
+        self.deadline_ms = (
+            now_ms + req.deadline_ms if req.deadline_ms else float("inf")
+        )
+        self.tasks = req.tasks
         self.phase = Phase.OPEN
-        self.is_first = is_first
+        self.is_first = req.is_first
         self.refusal: Problem | None = None
         self.is_claimed = False
         self.may_be_claimed = True
@@ -115,16 +181,17 @@
         self.asked_ms = now_ms
         self.heard_ms = now_ms
         self.claimed_ms = now_ms
+        self.granted_ms = 0.0
         self.longest_ms = 0.0
         self.granted: list[tuple[int, str]] = []
-        self.to_start = list(range(len(tasks) - 1, -1, -1))
+        self.to_start = list(range(len(req.tasks) - 1, -1, -1))
         self.running: dict[int, int] = {}
-        self.attempts = [0] * len(tasks)
+        self.attempts = [0] * len(req.tasks)
         self.started = 0
-        self.answers: list[bytes | None] = [None] * len(tasks)
+        self.answers: list[bytes | None] = [None] * len(req.tasks)
         self.outcome: Outcome | None = None
         self.waiters: list[object] = []
-        self.traceparent = traceparent
+        self.traceparent = req.traceparent
 
     @property
     def is_complete(self) -> bool:
--- a/packages/testbed/src/clayfield/testbed/site.py
+++ b/packages/testbed/src/clayfield/testbed/site.py
@@ -14,7 +14,7 @@
     PriorityClass,
     Service,
 )
-from clayfield.dispatch import WorkerInfo
+from clayfield.dispatch import JobRequest, WorkerInfo
 from clayfield.state import Timing, owned_key
 from clayfield.testbed.box import FakeBox
 from clayfield.testbed.events import EventQueue
@@ -263,20 +263,18 @@
             if on_answer:
                 on_answer(outcome)
 
-        target.do(
-            lambda core: core.submit(
-                member,
-                key,
-                owned.encode(),
-                service,
-                priority,
-                is_repeatable,
-                deadline_ms,
-                tasks,
-                answered,
-                is_first,
-            )
+        req = JobRequest(
+            member,
+            key,
+            owned.encode(),
+            service,
+            priority,
+            tasks,
+            is_repeatable,
+            deadline_ms,
+            is_first,
         )
+        target.do(lambda core: core.submit(req, answered))
         return True
 
 
