Find what to shed without a search; split ends, waiters and lookups from entry

The arrivals list is compacted, so a long overload does not make it grow.

What is left is the sum over the work ahead.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -269,4 +269,4 @@
         if flags.only in ("", name):
             figures[name] = measure().as_dict()
             print(f"{name}: {figures[name]}", flush=True)
-    return finish("slopes", figures)
+    return 0 if flags.only else finish("slopes", figures)
--- a/packages/dispatch/src/clayfield/dispatch/__init__.py
+++ b/packages/dispatch/src/clayfield/dispatch/__init__.py
@@ -13,7 +13,7 @@
     ToRegistry,
     ToScheduler,
 )
-from clayfield.dispatch.entry import Entry, TaskEnd
+from clayfield.dispatch.entry import Entry
 from clayfield.dispatch.rendering import (
     read_problem,
     render_problem,
@@ -21,6 +21,7 @@
 )
 from clayfield.dispatch.scheduler import Scheduler
 from clayfield.dispatch.submission import JobRequest, Phase, Submission
+from clayfield.dispatch.task_end import TaskEnd
 from clayfield.dispatch.workers import WorkerInfo
 
 __all__ = [
--- a/packages/dispatch/src/clayfield/dispatch/entry.py
+++ b/packages/dispatch/src/clayfield/dispatch/entry.py
@@ -6,7 +6,6 @@
 the submission is repeatable; the job fails as *may have run* instead.
 """
 
-import enum
 import hashlib
 
 from clayfield.base import Clock, Kind, Problem, Ran
@@ -22,7 +21,7 @@
 )
 from clayfield.dispatch.budget import RetryBudget
 from clayfield.dispatch.counters import Counters
-from clayfield.dispatch.lookups import Lookups
+from clayfield.dispatch.lookups import RUNNING, Lookups
 from clayfield.dispatch.rendering import (
     is_final,
     render_answers,
@@ -30,6 +29,8 @@
 )
 from clayfield.dispatch.settlements import Settlements
 from clayfield.dispatch.submission import JobRequest, Phase, Submission
+from clayfield.dispatch.task_end import TaskEnd
+from clayfield.dispatch.waiters import RemoteWaiter
 from clayfield.dispatch.workers import WorkerInfo
 from clayfield.wire.messages import (
     CLAIM_DONE,
@@ -39,10 +40,6 @@
     CLAIM_REUSED,
     CLAIM_SETTLED,
     CLAIM_UNAVAILABLE,
-    RELEASE_DONE,
-    RELEASE_LEAVING,
-    RELEASE_LOST,
-    RELEASE_REFUSED,
     RELEASE_UNUSED,
     AnswerFetch,
     AnswerReply,
@@ -66,33 +63,12 @@
 FOLLOW_TIMEOUT_MS = 1500.0
 RETRY_AFTER_MS = 1000
 MAX_ATTEMPTS = 8
-RUNNING = "running"
 MIN_STOP_RETRY_MS = 100
 DIGEST_BYTES = 16
 
 
-class TaskEnd(enum.Enum):
-    """How a start ended, as far as this box can tell."""
-
-    ANSWERED = RELEASE_DONE
-    FAILED = 100
-    REFUSED = RELEASE_REFUSED
-    LEAVING = RELEASE_LEAVING
-    UNREACHED = 101
-    LOST = RELEASE_LOST
-
-
-_RELEASE_OF = {
-    TaskEnd.ANSWERED: RELEASE_DONE,
-    TaskEnd.FAILED: RELEASE_DONE,
-    TaskEnd.REFUSED: RELEASE_REFUSED,
-    TaskEnd.LEAVING: RELEASE_LEAVING,
-    TaskEnd.UNREACHED: RELEASE_LOST,
-    TaskEnd.LOST: RELEASE_LOST,
-}
 # Of these the registry itself says that this body did not run.
 NEVER_RUN = (Kind.KEY_REUSED,)
-_NOT_STARTED = (TaskEnd.REFUSED, TaskEnd.LEAVING, TaskEnd.UNREACHED)
 
 
 class _Held:
@@ -257,23 +233,6 @@
             lookup = self._lookups.ask(key, waiter, self._clock.now_ms())
             self.actions.append(ToRegistry(lookup))
 
-    def _on_looked_up(self, waiter: object, reply: ClaimReply) -> None:
-        if reply.outcome:
-            self.actions.append(Answer(waiter, reply.outcome))
-        elif reply.verdict == CLAIM_OWNED:
-            self.actions.append(Tell(waiter, RUNNING))
-        elif reply.verdict == CLAIM_LOST:
-            self.actions.append(
-                Answer(
-                    waiter,
-                    render_problem(Problem(Kind.CLAIMS_LOST, "", Ran.MAYBE)),
-                )
-            )
-        else:
-            self.actions.append(
-                Answer(waiter, render_problem(Problem(Kind.NOT_FOUND)))
-            )
-
     def drop_waiter(self, key: str, waiter: object) -> None:
         """Learns that a caller hung up; its submission goes on."""
         sub = self._by_key.get(key)
@@ -299,9 +258,9 @@
         if reply.verdict == CLAIM_SETTLED:
             self._settlements.on_settled(reply.key, reply.nonce)
             return
-        asker = self._lookups.take(reply.nonce)
-        if asker is not None:
-            self._on_looked_up(asker, reply)
+        told = self._lookups.on_reply(reply)
+        if told:
+            self.actions.append(told)
             return
         sub = self._by_number.get(reply.nonce)
         if sub is None or sub.key != reply.key:
@@ -505,7 +464,7 @@
             return
         sub = held.submission
         task = sub.running.pop(grant)
-        self._release(grant, held.worker, _RELEASE_OF[end], took_ms)
+        self._release(grant, held.worker, end.release, took_ms)
         if end is not TaskEnd.ANSWERED:
             self.counters.wasted += 1
         if sub.phase is Phase.DONE:
@@ -524,7 +483,7 @@
             self._retry_or_fail(sub, task, end)
 
     def _retry_or_fail(self, sub: Submission, task: int, end: TaskEnd) -> None:
-        if end in _NOT_STARTED:
+        if not end.is_started:
             sub.started -= 1
         if self._may_retry(sub, task, end):
             self.counters.retries += 1
@@ -532,11 +491,11 @@
             self._cancel_request(sub)
             self._send_request(sub)
             return
-        detail = f"Task {task} ended as {end.name.lower()}."
-        if end in _NOT_STARTED:
-            problem = Problem(Kind.NO_WORKER, detail, Ran.NO, RETRY_AFTER_MS)
-        else:
+        detail = f"Task {task} ended as {end.text}."
+        if end.is_started:
             problem = Problem(Kind.TASK_LOST, detail)
+        else:
+            problem = Problem(Kind.NO_WORKER, detail, Ran.NO, RETRY_AFTER_MS)
         self._fail(sub, problem)
 
     def _may_retry(self, sub: Submission, task: int, end: TaskEnd) -> bool:
@@ -544,7 +503,7 @@
             return False
         if self._clock.now_ms() >= sub.deadline_ms:
             return False
-        if end not in _NOT_STARTED:
+        if end.is_started:
             service = self._cfg.services.get(sub.service)
             if not (service and service.retry_lost and sub.is_repeatable):
                 return False
@@ -639,9 +598,7 @@
             self.actions.append(ToRegistry(message))
         for lookup in self._lookups.due(now_ms):
             self.actions.append(ToRegistry(lookup))
-        for waiter in self._lookups.expired(now_ms):
-            problem = Problem(Kind.NO_REGISTRY, "", Ran.MAYBE, RETRY_AFTER_MS)
-            self.actions.append(Answer(waiter, render_problem(problem)))
+        self.actions += self._lookups.expire(now_ms)
 
     def _tick_following(self, sub: Submission, now_ms: float) -> None:
         if now_ms - sub.heard_ms >= FOLLOW_TIMEOUT_MS:
@@ -669,22 +626,3 @@
         is_following = sub.phase is Phase.FOLLOWING
         ran = Ran.MAYBE if is_following or sub.started else Ran.NO
         self._fail(sub, Problem(Kind.DEADLINE, "It has passed.", ran))
-
-
-class RemoteWaiter:
-    """Another box that waits for an answer."""
-
-    __slots__ = ("key", "node")
-
-    def __init__(self, node: str, key: str):
-        self.node = node
-        self.key = key
-
-    def __eq__(self, other: object) -> bool:
-        return isinstance(other, RemoteWaiter) and (self.node, self.key) == (
-            other.node,
-            other.key,
-        )
-
-    def __hash__(self) -> int:
-        return hash((self.node, self.key))
--- a/packages/dispatch/src/clayfield/dispatch/lookups.py
+++ b/packages/dispatch/src/clayfield/dispatch/lookups.py
@@ -1,9 +1,19 @@
 """Questions about keys, asked of their home halls."""
 
-from clayfield.wire.messages import Lookup
+from clayfield.base import Kind, Problem, Ran
+from clayfield.dispatch.actions import Action, Answer, Tell
+from clayfield.dispatch.rendering import render_problem
+from clayfield.wire.messages import (
+    CLAIM_LOST,
+    CLAIM_OWNED,
+    ClaimReply,
+    Lookup,
+)
 
 RESEND_MS = 300.0
 TIMEOUT_MS = 3000.0
+RETRY_AFTER_MS = 1000
+RUNNING = "running"
 
 
 class _Asked:
@@ -36,10 +46,22 @@
         self._asked[self._number] = _Asked(lookup, waiter, now_ms)
         return lookup
 
-    def take(self, number: int) -> object | None:
-        """Returns who asked, once; None for a number not asked."""
-        asked = self._asked.pop(number, None)
-        return asked.waiter if asked else None
+    def on_reply(self, reply: ClaimReply) -> Action | None:
+        """Returns what to tell the asker, None if the reply is to no question.
+
+        Each question is answered once.
+        """
+        asked = self._asked.pop(reply.nonce, None)
+        if asked is None:
+            return None
+        if reply.outcome:
+            return Answer(asked.waiter, reply.outcome)
+        if reply.verdict == CLAIM_OWNED:
+            return Tell(asked.waiter, RUNNING)
+        problem = Problem(Kind.NOT_FOUND)
+        if reply.verdict == CLAIM_LOST:
+            problem = Problem(Kind.CLAIMS_LOST, "", Ran.MAYBE)
+        return Answer(asked.waiter, render_problem(problem))
 
     def due(self, now_ms: float) -> list[Lookup]:
         """Returns the questions to send again now."""
@@ -50,11 +72,15 @@
                 due.append(asked.lookup)
         return due
 
-    def expired(self, now_ms: float) -> list[object]:
-        """Returns, once, the waiters whose questions stay unanswered."""
-        numbers = [
+    def expire(self, now_ms: float) -> list[Action]:
+        """Returns, once, what to tell those whose questions stay open."""
+        late = [
             number
             for number, asked in self._asked.items()
             if now_ms - asked.since_ms >= TIMEOUT_MS
         ]
-        return [self.take(number) for number in numbers]
+        problem = Problem(Kind.NO_REGISTRY, "", Ran.MAYBE, RETRY_AFTER_MS)
+        return [
+            Answer(self._asked.pop(number).waiter, render_problem(problem))
+            for number in late
+        ]
--- a/packages/dispatch/src/clayfield/dispatch/queue.py
+++ b/packages/dispatch/src/clayfield/dispatch/queue.py
@@ -7,6 +7,7 @@
 # A job that has waited this many ms counts as one ms shorter.
 AGEING = 0.1
 FIRST_CHECK_MS = 3000.0
+SPARE_ARRIVALS = 64
 
 
 class Waiting:
@@ -85,10 +86,11 @@
         tasks_of: the tasks that wait, by member.
     """
 
-    __slots__ = ("_heaps", "_number", "tasks_of", "work_ms")
+    __slots__ = ("_arrivals", "_heaps", "_number", "tasks_of", "work_ms")
 
     def __init__(self) -> None:
         self._heaps: dict[int, list[tuple[float, int, Waiting]]] = {}
+        self._arrivals: dict[int, list[Waiting]] = {}
         self._number = 0
         self.work_ms: dict[int, float] = {}
         self.tasks_of: dict[str, int] = {}
@@ -106,8 +108,17 @@
     def add(self, waiting: Waiting) -> None:
         """Takes a request in."""
         self._account(waiting, waiting.missing)
+        self._note_arrival(waiting)
         self.push_back(waiting)
 
+    def _note_arrival(self, waiting: Waiting) -> None:
+        arrivals = self._arrivals.setdefault(waiting.rank, [])
+        if len(arrivals) > SPARE_ARRIVALS + 2 * len(
+            self._heaps.get(waiting.rank, ())
+        ):
+            arrivals[:] = [one for one in arrivals if one.is_open]
+        arrivals.append(waiting)
+
     def push_back(self, waiting: Waiting) -> None:
         """Puts a request that was taken out by `pop` in again."""
         self._number += 1
@@ -121,6 +132,8 @@
             _, _, waiting = heapq.heappop(heap)
             if waiting.is_open:
                 return waiting
+        # Nothing waits any more, so nothing is to be shed either.
+        self._arrivals.pop(rank, None)
         return None
 
     def on_granted(self, waiting: Waiting, count: int) -> None:
@@ -142,16 +155,13 @@
         That is the one that came last: it hears of it at once, and what was
         taken earlier stays taken.
         """
-        unstarted = (
-            waiting
-            for _, _, waiting in self._heaps.get(rank, ())
-            if waiting.is_open and not waiting.granted
-        )
-        return max(
-            unstarted,
-            key=lambda w: (w.arrived_ms, w.request.request),
-            default=None,
-        )
+        arrivals = self._arrivals.get(rank, [])
+        while arrivals:
+            last = arrivals[-1]
+            if last.is_open and not last.granted:
+                return last
+            arrivals.pop()
+        return None
 
     def ahead_ms(self, waiting: Waiting) -> float:
         """Returns the slot time that goes before a request."""
