Keep the store's own copy of the log apart from the box's

Cause: read while looking for shared state: after a restart the store and the box's consensus held the same log object. The store's writes, on another thread, put entry N again and thereby dropped what the box had appended behind N. Ruled out by luck only: the fakes replay from records, and no process test restarted a control box and then changed the configuration twice at once.

Before → after: the new case fails on the old store (last index 6 instead of 7) and passes on the new one.

--- a/packages/daemon/src/clayfield/daemon/store.py
+++ b/packages/daemon/src/clayfield/daemon/store.py
@@ -46,7 +46,7 @@
     Attributes:
         made: when the folder was made, in ns of the box's wall clock; it only
             tells a new disk of this box from an older one.
-        state: what the records add up to.
+        state: what the records added up to when it was opened.
     """
 
     def __init__(self, folder: str):
@@ -62,9 +62,13 @@
         try:
             self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
             self.made = self._read_made()
-            self.state = self._open_log()
+            records = self._open_log()
         except OSError as exc:
             raise ClayfieldError(Kind.STORE_FAILED, f"{exc}.") from exc
+        # Two of them: the box goes on with one while writes, on another
+        # thread, bring the other up to date.
+        self.state = replay(records)
+        self._written = replay(records)
 
     def _read_made(self) -> int:
         path = self._folder / MADE_NAME
@@ -100,7 +104,7 @@
         finally:
             os.close(fd)
 
-    def _open_log(self) -> Replayed:
+    def _open_log(self) -> list[Record]:
         numbers = self._log_numbers()
         self._number = numbers[-1] if numbers else 1
         self._path = self._folder / f"{LOG_PREFIX}{self._number}"
@@ -118,7 +122,7 @@
             os.fsync(self._fd)
         self._sync_folder()
         self._drop_older(numbers[:-1])
-        return replay(records)
+        return records
 
     def _drop_older(self, numbers: list[int]) -> None:
         for number in numbers:
@@ -155,14 +159,14 @@
         for record in records:
             match record:
                 case Born(instance=instance):
-                    self.state = Replayed()
-                    self.state.instance = instance
+                    self._written = Replayed()
+                    self._written.instance = instance
                 case HardState():
-                    self.state.hard = record
+                    self._written.hard = record
                 case Append(index=index, entry=entry):
-                    self.state.log.put(index, entry)
+                    self._written.log.put(index, entry)
                 case Snapshot():
-                    self.state.log.compact(record)
+                    self._written.log.compact(record)
 
     def _start_new_log(self, records: list[Record]) -> None:
         self._note(records)
@@ -178,8 +182,8 @@
 
     def _image(self) -> list[Record]:
         """Returns the fewest records that give the present state."""
-        log = self.state.log
-        image: list[Record] = [Born(self.state.instance), self.state.hard]
+        log = self._written.log
+        image: list[Record] = [Born(self._written.instance), self._written.hard]
         if log.snapshot:
             image.append(log.snapshot)
         for index in range(log.first_index, log.last_index + 1):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -96,3 +96,15 @@
         file.write(frame_record(Append(9, LogEntry(1, 0, b""))))
     with pytest.raises(ClayfieldError, match="Entry 9 follows entry 5"):
         Store(str(tmp_path))
+
+
+def test_what_a_box_goes_on_with_is_not_touched_by_writes(tmp_path):
+    _filled(tmp_path)
+    store = Store(str(tmp_path))
+    state = store.state
+    state.log.put(6, LogEntry(1, 0, b"six"))
+    state.log.put(7, LogEntry(1, 0, b"not yet written"))
+    store.write([Append(6, LogEntry(1, 0, b"six"))])
+    assert state.log.last_index == 7
+    store.close()
+    assert Store(str(tmp_path)).state.log.last_index == 6
