--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -199,3 +199,29 @@
             assert _post(killed, f"west-1:s{n}", slow)[0] == 200
         assert counts()["starts"] == 32
         assert counts()["doubled"] == 0
+
+
+def test_accepted_configurations_survive_a_kill_of_every_box(tmp_path):
+    text = pathlib.Path(CONFIG).read_text()
+    with Cluster(tmp_path, CONFIG, {"west-1": 3}, 1) as cluster:
+        boxes = list(cluster.boxes.values())
+        urls = ",".join(f"http://127.0.0.1:{b.operators}" for b in boxes)
+        common = ["--box-urls", urls, "--token", "operator"]
+        for version in range(1, 7):
+            if version in (3, 5):
+                for box in boxes:
+                    box.kill()
+                for box in boxes:
+                    box.start()
+                for box in boxes:
+                    box.wait_ready()
+            path = tmp_path / f"{version}.yaml"
+            path.write_text(text.replace("replaces: 0", f"replaces: {version}"))
+            got = _run_cli(["apply", str(path), *common])
+            assert got.returncode == 0, (version, got.stdout, got.stderr)
+        for version in range(1, 7):
+            path = str(tmp_path / f"{version}.yaml")
+            got = _run_cli(["apply", path, *common])
+            assert f"accepted as version {version + 1}" in got.stdout
+        got = _run_cli(["show", "--output", "json", *common])
+        assert json.loads(got.stdout)["replaces"] == 6
