Tick without deferreds; let one shell serve both binaries; clear rounding

Cause: idle CPU was at the budget of 3%; CLAYFIELD_TOKEN, which the command line reads, kept clayfieldd from starting in the same shell; the work that waits was shown as -2.8e-14 ms.

--- a/packages/base/src/clayfield/base/settings.py
+++ b/packages/base/src/clayfield/base/settings.py
@@ -12,6 +12,9 @@
 from clayfield.base.errors import ClayfieldError, Kind
 
 PREFIX = "CLAYFIELD_"
+# Both binaries may be used from one shell: what the command line reads is no
+# fault to the daemon, and the other way round the command line does not ask.
+COMMAND_LINE_NAMES = ("box_urls", "token", "authority", "timeout_s")
 
 
 class Setting(typing.NamedTuple):
@@ -84,9 +87,16 @@
     settings: Sequence[Setting],
     flags: argparse.Namespace,
     environment: Mapping[str, str] = os.environ,
+    is_strict: bool = True,
 ) -> dict[str, object]:
     """Returns the value of each setting by its name.
 
+    Args:
+        settings: those that there are.
+        flags: as parsed.
+        environment: the variables.
+        is_strict: take an unknown CLAYFIELD_ variable for a fault.
+
     Raises:
         ClayfieldError: of kind BAD_SETTINGS, naming every fault.
     """
@@ -103,7 +113,8 @@
             values[one.name] = one.read(text)
         except ValueError as exc:
             faults.append(f"{one.flag} ({one.variable}) {text!r}: {exc}.")
-    faults += unknown_variables(settings, environment)
+    if is_strict:
+        faults += unknown_variables(settings, environment)
     if faults:
         raise ClayfieldError(Kind.BAD_SETTINGS, " ".join(faults))
     return values
@@ -114,6 +125,7 @@
 ) -> list[str]:
     """Returns a fault for each CLAYFIELD_ variable that means nothing."""
     known = {one.variable for one in settings}
+    known |= {PREFIX + name.upper() for name in COMMAND_LINE_NAMES}
     return [
         f"{name} is not a setting; remove it or correct its name."
         for name in sorted(environment)
--- a/packages/cli/src/clayfield/cli/main.py
+++ b/packages/cli/src/clayfield/cli/main.py
@@ -67,7 +67,7 @@
     """Runs one command and exits with its code."""
     flags = make_parser().parse_args(arguments)
     try:
-        values = read_settings(SETTINGS, flags)
+        values = read_settings(SETTINGS, flags, is_strict=False)
     except ClayfieldError as exc:
         print(f"clayfield: {exc}", file=sys.stderr)
         sys.exit(commands.EXIT_USAGE)
--- a/packages/daemon/src/clayfield/daemon/runtime.py
+++ b/packages/daemon/src/clayfield/daemon/runtime.py
@@ -36,6 +36,7 @@
 from clayfield.wire.messages import Message, Outcome
 
 TICK_S = 0.04
+TICKS_A_WATCH = 5
 WORKER_CONNECTIONS = 64
 MS_PER_S = 1000.0
 
@@ -92,7 +93,8 @@
             cfg.platform_list_ms,
             self._on_workers,
         )
-        self._ticking = task.LoopingCall(self._tick)
+        self._next_tick: interfaces.IDelayedCall | None = None
+        self._ticks = 0
         self._is_due = False
         self._was_ready = False
         self._led: set[tuple[str, int]] = set()
@@ -101,13 +103,14 @@
     def start(self) -> None:
         """Listens, connects and begins to tick."""
         self._peers.start()
-        self._ticking.start(TICK_S, now=False)
+        self._next_tick = self._reactor.callLater(TICK_S, self._tick)
         if self._cfg.platform_list:
             self._poll.start()
 
     def stop(self) -> None:
         """Ends the streams; `drain` comes before."""
-        self._ticking.stop()
+        if self._next_tick:
+            self._next_tick.cancel()
         self._poll.stop()
         self._workers.close()
         self._peers.stop()
@@ -145,9 +148,12 @@
             self._reactor.callLater(0, self._carry_out)
 
     def _tick(self) -> None:
+        self._next_tick = self._reactor.callLater(TICK_S, self._tick)
         self.core.tick()
         self.kick()
-        self._watch()
+        self._ticks += 1
+        if self._ticks % TICKS_A_WATCH == 0:
+            self._watch()
 
     def _on_messages(self, node: str, messages: list[Message]) -> None:
         for message in messages:
--- a/packages/dispatch/src/clayfield/dispatch/queue.py
+++ b/packages/dispatch/src/clayfield/dispatch/queue.py
@@ -132,8 +132,10 @@
             _, _, waiting = heapq.heappop(heap)
             if waiting.is_open:
                 return waiting
-        # Nothing waits any more, so nothing is to be shed either.
+        # Nothing waits any more, so nothing is to be shed, and what rounding
+        # left of the work is none.
         self._arrivals.pop(rank, None)
+        self.work_ms[rank] = 0.0
         return None
 
     def on_granted(self, waiting: Waiting, count: int) -> None:
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -15,7 +15,12 @@
 
 from clayfield.base import ClayfieldError, Kind, Problem, Ran
 from clayfield.base.events import Event, emit
-from clayfield.base.settings import add_flags, read_settings
+from clayfield.base.settings import (
+    COMMAND_LINE_NAMES,
+    add_flags,
+    read_settings,
+)
+from clayfield.cli.settings import SETTINGS as COMMAND_LINE
 from clayfield.daemon.settings import SETTINGS, DaemonSettings
 from clayfield.dispatch import read_problem, render_problem
 from clayfield.testbed.processes import Cluster
@@ -127,6 +132,10 @@
         assert f"| `{one.flag}` | `{one.variable}` |" in page
 
 
+def test_the_daemon_knows_what_the_command_line_reads():
+    assert {one.name for one in COMMAND_LINE} == set(COMMAND_LINE_NAMES)
+
+
 SOUND = {"box": "a", "boxes": "a@h=127.0.0.1:1/control", "data_folder": "d"}
 
 
@@ -142,6 +151,7 @@
         ({"callers": "0.0.0.0:80"}, {}, ("has no TLS",)),
         ({"callers": "0.0.0.0:80", "allow_plain": "yes"}, {}, ()),
         ({"tls_key": "k"}, {}, ("go together",)),
+        ({}, {"CLAYFIELD_TOKEN": "x"}, ()),
         ({}, {"CLAYFIELD_BOXS": "x"}, ("CLAYFIELD_BOXS is not a setting",)),
         (
             {"request_ms": "soon", "trace_percent": "101"},
