--- a/packages/box/src/clayfield/box/control.py
+++ b/packages/box/src/clayfield/box/control.py
@@ -1,6 +1,5 @@
 """A node's part in the control log."""
 
-from clayfield.base import Kind
 from clayfield.config import from_bytes
 from clayfield.state import ApplyResult, ConfigLog
 from clayfield.state.configlog import beginning
@@ -95,6 +94,3 @@
             is_proposed = consensus.has_command(lambda c: c == beginning())
             if not is_proposed:
                 consensus.propose(beginning())
-
-
-NO_CONTROL = ApplyResult(0, Kind.NO_CONTROL.code, "No leader answered.")
--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -9,12 +9,14 @@
 from collections.abc import Callable
 
 from clayfield.base import Clock, Kind, Problem
-from clayfield.box.actions import Applied, InForce, Persist, Send
-from clayfield.box.control import NO_CONTROL, Control
+from clayfield.box.actions import InForce, Persist, Send
+from clayfield.box.applies import Applies
+from clayfield.box.control import Control
 from clayfield.box.follower import ConfigFollower
 from clayfield.box.identity import Identity
 from clayfield.box.registry import Registry
-from clayfield.config import Configuration, to_bytes
+from clayfield.box.targets import beat_targets
+from clayfield.config import Configuration
 from clayfield.dispatch import (
     Action,
     Entry,
@@ -45,8 +47,6 @@
 HALL_GROUP_PREFIX = "hall:"
 HEARTBEAT_MS = 250.0
 SYNC_MS = 5000.0
-APPLY_RESEND_MS = 400.0
-APPLY_TIMEOUT_MS = 5000.0
 WITNESS_PATIENCE = 3.0
 NOT_READY_RETRY_MS = 500
 # Configurations may wait longer for a leader than claims.
@@ -55,17 +55,6 @@
 )
 
 
-class _Apply:
-    """A file that an operator handed to this box."""
-
-    __slots__ = ("asked_ms", "cfg", "since_ms")
-
-    def __init__(self, cfg: Configuration, now_ms: float):
-        self.cfg = cfg
-        self.since_ms = now_ms
-        self.asked_ms = now_ms
-
-
 class BoxCore:
     """The decisions of one box.
 
@@ -110,8 +99,7 @@
             collections.deque()
         )
         self._workers: list[WorkerInfo] = []
-        self._applies: dict[int, _Apply] = {}
-        self._next_apply = 1
+        self._applies = Applies(clock)
         self._next_hop = 0
         self._next_beat_ms = 0.0
         self._next_sync_ms = 0.0
@@ -241,11 +229,9 @@
         Returns:
             The number under which `Applied` will tell what became of it.
         """
-        request = self._next_apply
-        self._next_apply += 1
-        self._applies[request] = _Apply(cfg, self._clock.now_ms())
-        self._send_apply(request)
-        return request
+        request = self._applies.add(cfg)
+        self._send_control(request)
+        return request.request
 
     def on_message(self, node: str, message: m.Message) -> None:
         """Takes a message of another box.
@@ -328,7 +314,7 @@
                 self.cfg.limits.claim_retention_ms,
             )
         self.entry.tick()
-        self._tick_applies(now_ms)
+        self._tick_applies()
         if self.entry.is_stopping:
             self._hand_on()
         if now_ms >= self._next_beat_ms:
@@ -355,7 +341,7 @@
             m.ConfigPush: self._on_config_push,
             m.ApplyRequest: self._on_control_request,
             m.OpenRequest: self._on_control_request,
-            m.ApplyReply: lambda node, reply: self._on_apply_reply(reply),
+            m.ApplyReply: self._on_apply_reply,
             m.OpenReply: self._on_open_reply,
             m.Claim: self._on_claim_command,
             m.Complete: self._on_claim_command,
@@ -450,65 +436,15 @@
             tuple(g.join_name() for g in groups),
             self._is_stopping,
         )
-        for box in sorted(self._beat_targets()):
+        for box in beat_targets(self.identity, self.peers, self.registries):
             self._actions.append(Send(box, beat))
 
-    def _beat_targets(self) -> set[str]:
-        """Returns the boxes that must hear this one.
-
-        These are the boxes of its hall and of its groups; and from the first
-        live box of each hall the control boxes, through whom configurations
-        spread from hall to hall.
-        """
-        identity = self.identity
-        targets = set(identity.boxes_in(identity.hall))
-        halls = {name: peer.hall for name, peer in identity.boxes.items()}
-        for hall in self.registries:
-            targets.update(identity.boxes_in(hall))
-        targets.update(hall_replicas(identity.hall, halls))
-        if identity.box in identity.control_boxes or self._is_first_in_hall():
-            targets.update(identity.control_boxes)
-        if identity.box in identity.control_boxes:
-            targets.update(self._first_of_each_hall())
-        targets.discard(identity.box)
-        return targets
-
-    def _is_first_in_hall(self) -> bool:
-        for box in self.identity.boxes_in(self.identity.hall):
-            if box == self.identity.box:
-                return True
-            if self.peers.is_live(box):
-                return False
-        return True
-
-    def _first_of_each_hall(self) -> set[str]:
-        firsts = set()
-        for hall in self.identity.halls:
-            boxes = self.identity.boxes_in(hall)
-            live = [box for box in boxes if self.peers.is_live(box)]
-            firsts.add((live or boxes)[0])
-        return firsts
-
     # Configurations.
 
-    def _tick_applies(self, now_ms: float) -> None:
-        for request, one in list(self._applies.items()):
-            if now_ms - one.since_ms >= APPLY_TIMEOUT_MS:
-                self._on_apply_reply(
-                    m.ApplyReply(
-                        request,
-                        self.follower.version,
-                        NO_CONTROL.code,
-                        NO_CONTROL.detail,
-                    )
-                )
-            elif now_ms - one.asked_ms >= APPLY_RESEND_MS:
-                one.asked_ms = now_ms
-                self._send_apply(request)
-
-    def _send_apply(self, request: int) -> None:
-        cfg = self._applies[request].cfg
-        self._send_control(m.ApplyRequest(request, cfg.replaces, to_bytes(cfg)))
+    def _tick_applies(self) -> None:
+        self._actions += self._applies.expire(self.follower.version)
+        for request in self._applies.due():
+            self._send_control(request)
 
     def _send_control(self, message: m.Message) -> None:
         leader, _ = self._leader(CONTROL_GROUP)
@@ -520,11 +456,10 @@
         if box:
             self._send(box, message)
 
-    def _on_apply_reply(self, reply: m.ApplyReply) -> None:
-        if self._applies.pop(reply.request, None):
-            self._actions.append(
-                Applied(reply.request, reply.version, reply.code, reply.detail)
-            )
+    def _on_apply_reply(self, node: str, reply: m.ApplyReply) -> None:
+        applied = self._applies.on_reply(reply)
+        if applied:
+            self._actions.append(applied)
 
     def _take_config(self) -> None:
         """Puts in force what the control log at this box has committed."""
