Keep keys from running twice when a hall is added

Cause: the home of an opaque key follows from the set of halls, so a new hall took over keys whose claims stood elsewhere; while boxes restarted one by one, two homes could even take the same key at once.

Conclusion: boxes that know different halls do not talk, and control counts each earlier set of halls as a start of a hall's claims.

--- a/packages/box/src/clayfield/box/control.py
+++ b/packages/box/src/clayfield/box/control.py
@@ -47,7 +47,9 @@
         if not self.leads:
             return False
         if isinstance(request, OpenRequest):
-            command = self.log.opening_for(request.hall, request.instance)
+            command = self.log.opening_for(
+                request.hall, request.instance, request.halls
+            )
         else:
             command = self.log.command_for(from_bytes(request.body))
         if isinstance(command, ApplyResult):
--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -155,7 +155,7 @@
             patience=1.0 if is_own else WITNESS_PATIENCE,
             may_drop=True,
         )
-        return Registry(self._clock, hall, group)
+        return Registry(self._clock, hall, self.identity.halls, group)
 
     # Questions.
 
--- a/packages/box/src/clayfield/box/registry.py
+++ b/packages/box/src/clayfield/box/registry.py
@@ -47,8 +47,11 @@
         opening: a request that control is to record, None for none.
     """
 
-    def __init__(self, clock: Clock, hall: str, group: Group):
+    def __init__(
+        self, clock: Clock, hall: str, halls: tuple[str, ...], group: Group
+    ):
         self.hall = hall
+        self._halls = halls
         self.group = group
         self.scheduler: Scheduler | None = None
         self.outbox: list[tuple[str, Message]] = []
@@ -124,7 +127,7 @@
             return
         if now_ms - self._open_asked_ms >= OPEN_RESEND_MS:
             self._open_asked_ms = now_ms
-            self.opening = OpenRequest(self.hall, consensus.group)
+            self.opening = OpenRequest(self.hall, consensus.group, self._halls)
 
     # Time.
 
--- a/packages/daemon/src/clayfield/daemon/peers.py
+++ b/packages/daemon/src/clayfield/daemon/peers.py
@@ -210,7 +210,9 @@
     def _greet(self, string: bytes) -> None:
         greeting = decode_greeting(string)
         self._box = greeting.box
-        check_greeting(greeting, self._peers.cluster)
+        check_greeting(
+            greeting, self._peers.cluster, self._peers.identity.halls
+        )
         if greeting.box not in self._peers.identity.boxes:
             raise ClayfieldError(
                 Kind.BAD_FRAME, f"{greeting.box!r} is no box of --boxes."
@@ -257,7 +259,11 @@
         self._files = files
         self._port: interfaces.IListeningPort | None = None
         greeting = Greeting(
-            cluster, identity.box, identity.incarnation, identity.hall
+            cluster,
+            identity.box,
+            identity.incarnation,
+            identity.hall,
+            halls=identity.halls,
         )
         self._links = {
             name: Link(reactor, name, peer.address, greeting, files)
--- a/packages/state/src/clayfield/state/configlog.py
+++ b/packages/state/src/clayfield/state/configlog.py
@@ -45,6 +45,7 @@
 class _OpenHall(msgspec.Struct, frozen=True, array_like=True, tag=True):
     hall: str
     instance: str
+    halls: tuple[str, ...] = ()
 
 
 class _Image(msgspec.Struct, frozen=True, array_like=True):
@@ -53,6 +54,7 @@
     deltas: list[bytes]
     openings: dict[str, list[str]]
     is_open: bool
+    hall_sets: list[tuple[str, ...]] = []
 
 
 _command_decoder = msgspec.msgpack.Decoder(_Apply | _Begin | _OpenHall)
@@ -84,7 +86,14 @@
         is_open: whether the log has begun with all of its first voters.
     """
 
-    __slots__ = ("_digests", "current", "deltas", "is_open", "openings")
+    __slots__ = (
+        "_digests",
+        "_hall_sets",
+        "current",
+        "deltas",
+        "is_open",
+        "openings",
+    )
 
     def __init__(self) -> None:
         self.current: Configuration = EMPTY
@@ -92,6 +101,7 @@
         self._digests = bytearray()
         self.openings: dict[str, list[str]] = {}
         self.is_open = False
+        self._hall_sets: list[tuple[str, ...]] = []
 
     @property
     def version(self) -> int:
@@ -133,9 +143,11 @@
             " is in force.",
         )
 
-    def opening_for(self, hall: str, instance: str) -> bytes:
+    def opening_for(
+        self, hall: str, instance: str, halls: tuple[str, ...]
+    ) -> bytes:
         """Returns the command that records that a hall's claims start."""
-        return msgspec.msgpack.encode(_OpenHall(hall, instance))
+        return msgspec.msgpack.encode(_OpenHall(hall, instance, halls))
 
     def apply(self, command: bytes) -> ApplyResult | int:
         """Applies a command made by this module, perhaps elsewhere.
@@ -149,10 +161,21 @@
             return 0
         if isinstance(decoded, _Apply):
             return self._apply_file(decoded)
-        instances = self.openings.setdefault(decoded.hall, [])
-        if decoded.instance not in instances:
-            instances.append(decoded.instance)
-        return instances.index(decoded.instance) + 1
+        return self._open_hall(decoded)
+
+    def _open_hall(self, opening: _OpenHall) -> int:
+        """Returns how often a hall's claims have started.
+
+        Each earlier set of halls counts as a start too: with the set, keys
+        moved here whose claims are elsewhere.
+        """
+        if opening.halls not in self._hall_sets:
+            self._hall_sets.append(opening.halls)
+        instances = self.openings.setdefault(opening.hall, [])
+        if opening.instance not in instances:
+            instances.append(opening.instance)
+        earlier_sets = self._hall_sets.index(opening.halls)
+        return instances.index(opening.instance) + 1 + earlier_sets
 
     def _apply_file(self, command: _Apply) -> ApplyResult:
         replaces = version_of(command.delta) - 1
@@ -182,6 +205,7 @@
                 self.deltas,
                 self.openings,
                 self.is_open,
+                self._hall_sets,
             )
         )
 
@@ -193,3 +217,4 @@
         self.deltas = image.deltas
         self.openings = image.openings
         self.is_open = image.is_open
+        self._hall_sets = list(image.hall_sets)
--- a/packages/testbed/src/clayfield/testbed/box.py
+++ b/packages/testbed/src/clayfield/testbed/box.py
@@ -98,7 +98,7 @@
         identity = Identity(
             self.name,
             self.incarnation,
-            self._addresses,
+            dict(self._addresses),
             self.disk.made if self.disk else 0,
         )
         self.core = self._make_core(
@@ -183,9 +183,12 @@
     def _send(self, box: str, message: object) -> None:
         node = self.node
         peer = self.boxes[box]
+        halls = self.core.identity.halls
 
         def deliver() -> None:
-            peer.do(lambda core: core.on_message(node, message))
+            # As the greeting of a stream: other halls, no talk.
+            if peer.core and peer.core.identity.halls == halls:
+                peer.do(lambda core: core.on_message(node, message))
 
         self._network.send(self.name, box, deliver)
 
--- a/packages/testbed/src/clayfield/testbed/drills.py
+++ b/packages/testbed/src/clayfield/testbed/drills.py
@@ -19,6 +19,7 @@
 THREE_HALLS = SiteShape(
     {"h1": 3, "h2": 3, "h3": 3}, control=3, workers=2, slots=4
 )
+TWO_HALLS = SiteShape({"h1": 3, "h2": 3}, control=3, workers=2, slots=4)
 TASKS_MS = [80.0, 120.0]
 SETTLED_MS = 1500.0
 LONG_MS = 6000.0
@@ -255,6 +256,28 @@
     drill.ask_again()
 
 
+def hall_added(seed: int) -> None:
+    """A hall is added, box by box: keys that move there run no second time."""
+    drill = Drill(seed, TWO_HALLS)
+    keys = [f"opaque-{number}" for number in range(30)]
+    for key in keys:
+        drill.submit("h1-a", key)
+    drill.site.run(LONG_MS)
+    first = list(drill.site.boxes)
+    drill.site.add_hall("h3", 3)
+    for name in first:
+        drill.site.boxes[name].crash()
+        drill.site.boxes[name].start()
+        for key in keys[:5]:
+            drill.submit(name, key)
+            drill.submit("h3-a", key)
+        drill.site.run(LONG_MS)
+    drill.submit("h3-b", "h3.2:new")
+    drill.site.run(SETTLED_MS)
+    assert drill.statuses("h3.2:new") == [200]
+    drill.ask_again()
+
+
 def worker_dies(seed: int) -> None:
     """A worker dies with a task of a job: the job fails as may have run."""
     drill = Drill(seed)
@@ -396,6 +419,7 @@
         empty_voter_returns,
         hall_cut_off,
         whole_hall_restarts,
+        hall_added,
         worker_dies,
         operators_race,
         resent_after_many_changes,
--- a/packages/testbed/src/clayfield/testbed/mutations.py
+++ b/packages/testbed/src/clayfield/testbed/mutations.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from clayfield.dispatch import Entry
-from clayfield.state import Consensus
+from clayfield.state import ConfigLog, Consensus
 from clayfield.testbed.box import FakeBox, FakeDisk
 
 
@@ -34,6 +34,14 @@
     return start
 
 
+def _forget_hall_sets(original: Callable) -> Callable:
+    def open_hall(log: ConfigLog, opening: object) -> int:
+        count = original(log, opening)
+        return count - log._hall_sets.index(opening.halls)
+
+    return open_hall
+
+
 def _make_lying(
     original: Callable[[FakeDisk, int], None],
 ) -> Callable[[FakeDisk, int], None]:
@@ -59,6 +67,9 @@
     "no_sync": lambda: mock.patch.object(
         FakeDisk, "__init__", _make_lying(FakeDisk.__init__)
     ),
+    "no_hall_sets": lambda: mock.patch.object(
+        ConfigLog, "_open_hall", _forget_hall_sets(ConfigLog._open_hall)
+    ),
     "retry_maybe_started": lambda: mock.patch.object(
         Entry, "_may_retry", lambda entry, sub, task, end: True
     ),
--- a/packages/testbed/src/clayfield/testbed/site.py
+++ b/packages/testbed/src/clayfield/testbed/site.py
@@ -110,28 +110,43 @@
         self.shape = shape
         self._run_ms: dict[tuple[str, int], float] = {}
         self._addresses = self._place_boxes()
-        self.workers = self._place_workers()
-        self.boxes = {
-            name: FakeBox(
-                name,
-                self._addresses,
-                self.events,
-                self.network,
-                self.ledger,
-                self.rng,
-                self.workers,
-                lambda key, task: self._run_ms[key, task],
-                shape.sync_ms,
-                timing,
-                make_core,
-            )
-            for name in self._addresses
-        }
+        self.workers: dict[str, FakeWorker] = {}
+        for hall in shape.halls:
+            self._place_workers_in(hall)
+        self._timing = timing
+        self._make_core = make_core
+        self.boxes = {name: self._make_box(name) for name in self._addresses}
         for box in self.boxes.values():
             box.boxes = self.boxes
             box.start()
         self._publish_list()
 
+    def _make_box(self, name: str) -> FakeBox:
+        return FakeBox(
+            name,
+            self._addresses,
+            self.events,
+            self.network,
+            self.ledger,
+            self.rng,
+            self.workers,
+            lambda key, task: self._run_ms[key, task],
+            self.shape.sync_ms,
+            self._timing,
+            self._make_core,
+        )
+
+    def add_hall(self, hall: str, boxes: int) -> None:
+        """Adds a hall; boxes that start from now on know it."""
+        for number in range(boxes):
+            name = f"{hall}-{chr(ord('a') + number)}"
+            self._addresses[name] = PeerAddress(hall, "", False)
+            self.boxes[name] = self._make_box(name)
+            self.boxes[name].boxes = self.boxes
+        self._place_workers_in(hall)
+        for box in self.boxes_in(hall):
+            box.start()
+
     def _place_boxes(self) -> dict[str, PeerAddress]:
         addresses: dict[str, PeerAddress] = {}
         most = max(self.shape.halls.values())
@@ -145,17 +160,13 @@
                     addresses[name] = PeerAddress(hall, "", is_control)
         return addresses
 
-    def _place_workers(self) -> dict[str, FakeWorker]:
-        workers = {}
+    def _place_workers_in(self, hall: str) -> None:
         shape = self.shape
-        for hall in shape.halls:
-            for number in range(shape.workers):
-                rack = f"{hall}-r{number * shape.racks // shape.workers}"
-                info = WorkerInfo(
-                    f"{hall}-w{number}", "", hall, rack, slots=shape.slots
-                )
-                workers[info.name] = FakeWorker(info, self.events, self.ledger)
-        return workers
+        for number in range(shape.workers):
+            rack = f"{hall}-r{number * shape.racks // shape.workers}"
+            name = f"{hall}-w{number}"
+            info = WorkerInfo(name, "", hall, rack, slots=shape.slots)
+            self.workers[name] = FakeWorker(info, self.events, self.ledger)
 
     def _delay_ms(self, source: str, target: str) -> float:
         same = self.hall_of(source) == self.hall_of(target)
--- a/packages/wire/src/clayfield/wire/codec.py
+++ b/packages/wire/src/clayfield/wire/codec.py
@@ -47,6 +47,7 @@
         incarnation: of the sender's process.
         hall: where the sender stands.
         version: the newest protocol version that it speaks.
+        halls: the names of all halls that the sender knows, sorted.
     """
 
     cluster: str
@@ -54,6 +55,7 @@
     incarnation: int
     hall: str
     version: int = PROTOCOL_VERSION
+    halls: tuple[str, ...] = ()
 
 
 _greeting_decoder = msgspec.msgpack.Decoder(Greeting)
@@ -76,22 +78,34 @@
         raise ClayfieldError(Kind.BAD_FRAME, f"{exc}.") from exc
 
 
-def check_greeting(greeting: Greeting, cluster: str) -> None:
+def check_greeting(
+    greeting: Greeting, cluster: str, halls: tuple[str, ...]
+) -> None:
     """Checks that a peer belongs here.
 
+    Boxes that know different halls would seek a key's claim in different
+    places, so they do not talk.
+
     Args:
         greeting: what it said.
         cluster: the name of this box's own cluster.
+        halls: the names of all halls, sorted.
 
     Raises:
-        ClayfieldError: of kind BAD_FRAME, when the peer is of another cluster
-            or too old.
+        ClayfieldError: of kind BAD_FRAME, when the peer is of another cluster,
+            knows other halls or is too old.
     """
     if greeting.cluster != cluster:
         raise ClayfieldError(
             Kind.BAD_FRAME,
             f"peer is of cluster {greeting.cluster!r}, not {cluster!r}.",
         )
+    if greeting.halls != halls:
+        raise ClayfieldError(
+            Kind.BAD_FRAME,
+            f"peer's --boxes names the halls {', '.join(greeting.halls)}, not"
+            f" {', '.join(halls)}.",
+        )
     if greeting.version < OLDEST_VERSION:
         raise ClayfieldError(
             Kind.BAD_FRAME,
--- a/packages/wire/src/clayfield/wire/messages.py
+++ b/packages/wire/src/clayfield/wire/messages.py
@@ -206,10 +206,12 @@
     Attributes:
         hall: whose claims.
         instance: the group instance that is to open.
+        halls: the names of all halls that the sender knows, sorted.
     """
 
     hall: str
     instance: str
+    halls: tuple[str, ...] = ()
 
 
 class OpenReply(Message, frozen=True, tag=True):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -41,6 +41,7 @@
         ("no_pre_vote", "back_from_silence", "return_deposes_nobody"),
         ("no_incarnation", "empty_voter_returns", "starts_at_most_once"),
         ("no_incarnation", "whole_hall_restarts", "starts_at_most_once"),
+        ("no_hall_sets", "hall_added", "did_not_run_is_true"),
         ("no_sync", "accepted_then_power_lost", "accepted version 2"),
         ("retry_maybe_started", "worker_dies", "starts_at_most_once"),
     ],
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -89,19 +89,20 @@
 @pytest.mark.parametrize(
     ("greeting", "is_refused"),
     [
-        (Greeting("c", "a", 1, "h"), False),
-        (Greeting("c", "a", 1, "h", version=99), False),
-        (Greeting("other", "a", 1, "h"), True),
-        (Greeting("c", "a", 1, "h", version=0), True),
+        (Greeting("c", "a", 1, "h", halls=("h",)), False),
+        (Greeting("c", "a", 1, "h", version=99, halls=("h",)), False),
+        (Greeting("other", "a", 1, "h", halls=("h",)), True),
+        (Greeting("c", "a", 1, "h", version=0, halls=("h",)), True),
+        (Greeting("c", "a", 1, "h", halls=("h", "i")), True),
     ],
 )
 def test_greetings_of_foreign_or_old_peers_are_refused(greeting, is_refused):
     told = decode_greeting(encode_greeting(greeting))
     if not is_refused:
-        check_greeting(told, "c")
+        check_greeting(told, "c", ("h",))
         return
     with pytest.raises(ClayfieldError):
-        check_greeting(told, "c")
+        check_greeting(told, "c", ("h",))
 
 
 @pytest.mark.parametrize("kind", Kind)
