--- a/packages/box/src/clayfield/box/core.py
+++ b/packages/box/src/clayfield/box/core.py
@@ -100,7 +100,9 @@
         )
         self._workers: list[WorkerInfo] = []
         self._applies = Applies(clock)
+        # Apart, so that neither steps over the box that the other needs.
         self._next_hop = 0
+        self._next_control_hop = 0
         self._next_beat_ms = 0.0
         self._next_sync_ms = 0.0
         self._scheduler: tuple[str, int] = ("", 0)
@@ -180,7 +182,7 @@
         if not self.follower.version:
             return False
         own = self.registries.get(self.identity.hall)
-        if own and not own.group.is_voter:
+        if own and not (own.group.is_voter and own.table.is_open):
             return False
         return bool(self._leader(HALL_GROUP_PREFIX + self.identity.hall)[0])
 
@@ -451,8 +453,8 @@
         box = box_of(leader)
         if not leader and self.identity.control_boxes:
             boxes = self.identity.control_boxes
-            self._next_hop += 1
-            box = boxes[self._next_hop % len(boxes)]
+            self._next_control_hop += 1
+            box = boxes[self._next_control_hop % len(boxes)]
         if box:
             self._send(box, message)
 
--- a/packages/dispatch/src/clayfield/dispatch/entry.py
+++ b/packages/dispatch/src/clayfield/dispatch/entry.py
@@ -209,13 +209,10 @@
             outcome = render_problem(Problem(Kind.KEY_REUSED))
         self.actions.append(Answer(waiter, outcome))
 
-    def get(self, number: int) -> Submission | None:
-        """Returns the open submission with a number."""
-        return self._by_number.get(number)
-
-    def state_of(self, key: str) -> Submission | None:
-        """Returns the submission that is open here under a key."""
-        return self._by_key.get(key)
+    def holder_of(self, grant: int) -> Submission | None:
+        """Returns the submission that a slot is held for, even a done one."""
+        held = self._held.get(grant)
+        return held.submission if held else None
 
     def look_up(self, key: str, waiter: object) -> None:
         """Asks for the state or the answer of a key.
--- a/packages/state/src/clayfield/state/group.py
+++ b/packages/state/src/clayfield/state/group.py
@@ -220,6 +220,25 @@
             step = self._step_for(node, members)
             if step and self.consensus.change_members(step):
                 return
+        self._remove_one_unwanted(members)
+
+    def _remove_one_unwanted(self, members: Members) -> None:
+        """Takes the vote of a box that is configured no more.
+
+        The configured boxes get theirs first; the leader goes last, when
+        another can lead.
+        """
+        if not self.is_whole:
+            return
+        unwanted = [
+            voter
+            for voter in members.voters
+            if box_of(voter) not in self._replicas
+        ]
+        unwanted.sort(key=lambda voter: voter == self.node)
+        if unwanted:
+            voters = tuple(v for v in members.voters if v != unwanted[0])
+            self.consensus.change_members(Members(voters, members.learners))
 
     def _node_of(self, box: str, peers: PeerTable) -> str:
         """Returns the node by which a live box takes part, or ""."""
--- a/packages/testbed/src/clayfield/testbed/box.py
+++ b/packages/testbed/src/clayfield/testbed/box.py
@@ -94,12 +94,13 @@
         """Starts the box's process."""
         self.incarnation += 1
         self.starts += 1
-        stored = replay(self.disk.records) if self.disk else None
+        is_control = self._addresses[self.name].is_control
+        stored = replay(self.disk.records) if is_control else None
         identity = Identity(
             self.name,
             self.incarnation,
-            dict(self._addresses),
-            self.disk.made if self.disk else 0,
+            _copied(self._addresses),
+            self.disk.made if is_control else 0,
         )
         self.core = self._make_core(
             identity, self._events.clock, self._rng, stored, self._timing
@@ -126,6 +127,10 @@
                     ),
                 )
 
+    def add_disk(self) -> None:
+        """Gives a box its first disk."""
+        self.disk = FakeDisk(1)
+
     def lose_disk(self) -> None:
         """Replaces the disk of a box that is down by an empty one."""
         self.disk = FakeDisk(self.disk.made + 1)
@@ -231,7 +236,7 @@
     def _start_task(self, action: StartTask) -> None:
         core = self.core
         incarnation = self.incarnation
-        sub = core.entry.get(action.submission)
+        sub = core.entry.holder_of(action.grant)
         worker = self._workers[action.worker]
         key = sub.key
         is_open = [True]
@@ -260,3 +265,11 @@
             action.timeout_ms,
             lambda: finish(TaskEnd.LOST, b"", action.timeout_ms),
         )
+
+
+def _copied(addresses: dict[str, PeerAddress]) -> dict[str, PeerAddress]:
+    """Returns the settings as they are now, for one start of a process."""
+    return {
+        name: PeerAddress(one.hall, one.address, one.is_control)
+        for name, one in addresses.items()
+    }
--- a/packages/testbed/src/clayfield/testbed/drills.py
+++ b/packages/testbed/src/clayfield/testbed/drills.py
@@ -19,6 +19,7 @@
 THREE_HALLS = SiteShape(
     {"h1": 3, "h2": 3, "h3": 3}, control=3, workers=2, slots=4
 )
+FOUR_BOXES = SiteShape({"h1": 4}, control=3, workers=2, slots=4)
 TWO_HALLS = SiteShape({"h1": 3, "h2": 3}, control=3, workers=2, slots=4)
 TASKS_MS = [80.0, 120.0]
 SETTLED_MS = 1500.0
@@ -278,6 +279,28 @@
     drill.ask_again()
 
 
+def control_box_moved(seed: int) -> None:
+    """A control box gives its part to another, by a rolling restart."""
+    drill = Drill(seed, FOUR_BOXES)
+    version = 1
+    drill.site.move_control("h1-a", "h1-d")
+    for name, box in drill.site.boxes.items():
+        drill.change(name, box.core.cfg, 600 + version)
+        drill.site.run(SETTLED_MS)
+        version += 1
+        box.crash()
+        box.start()
+        drill.run_until(lambda box=box: box.core.is_ready)
+    drill.site.run(LONG_MS)
+    leader = drill.leader("control")
+    voters = leader.core.control.group.consensus.members.voters
+    assert sorted(map(box_of, voters)) == ["h1-b", "h1-c", "h1-d"]
+    drill.change("h1-a", leader.core.cfg, 999)
+    drill.site.run(SETTLED_MS)
+    versions = {box.core.cfg.version for box in drill.site.boxes.values()}
+    assert versions == {version + 1}, f"in force {versions}"
+
+
 def worker_dies(seed: int) -> None:
     """A worker dies with a task of a job: the job fails as may have run."""
     drill = Drill(seed)
@@ -420,6 +443,7 @@
         hall_cut_off,
         whole_hall_restarts,
         hall_added,
+        control_box_moved,
         worker_dies,
         operators_race,
         resent_after_many_changes,
--- a/packages/testbed/src/clayfield/testbed/site.py
+++ b/packages/testbed/src/clayfield/testbed/site.py
@@ -147,6 +147,12 @@
         for box in self.boxes_in(hall):
             box.start()
 
+    def move_control(self, source: str, target: str) -> None:
+        """Names another box as control, for boxes that start from now on."""
+        self._addresses[source].is_control = False
+        self._addresses[target].is_control = True
+        self.boxes[target].add_disk()
+
     def _place_boxes(self) -> dict[str, PeerAddress]:
         addresses: dict[str, PeerAddress] = {}
         most = max(self.shape.halls.values())
