--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := $(wildcard packages/*)
 NAME ?= path
 
-.PHONY: setup demo test bench lint format proto
+.PHONY: setup demo test bench lint format
 
 setup: $(STAMP)
 
@@ -36,8 +36,3 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
-
-# Only needed when frame.proto changes; what it makes is committed.
-proto: $(STAMP)
-	cd packages/wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I. \
-	  --python_out=. --grpc_python_out=. clayfield/wire/frame.proto
