--- a/packages/dispatch/src/clayfield/dispatch/lookups.py
+++ b/packages/dispatch/src/clayfield/dispatch/lookups.py
@@ -2,6 +2,7 @@
 
 from clayfield.base import Kind, Problem, Ran
 from clayfield.dispatch.actions import Action, Answer, Tell
+from clayfield.dispatch.outstanding import Outstanding
 from clayfield.dispatch.rendering import render_problem
 from clayfield.wire.messages import (
     CLAIM_LOST,
@@ -17,13 +18,11 @@
 
 
 class _Asked:
-    __slots__ = ("lookup", "sent_ms", "since_ms", "waiter")
+    __slots__ = ("lookup", "waiter")
 
-    def __init__(self, lookup: Lookup, waiter: object, now_ms: float):
+    def __init__(self, lookup: Lookup, waiter: object):
         self.lookup = lookup
         self.waiter = waiter
-        self.since_ms = now_ms
-        self.sent_ms = now_ms
 
 
 class Lookups:
@@ -37,13 +36,13 @@
     def __init__(self, node: str):
         self._node = node
         self._number = 0
-        self._asked: dict[int, _Asked] = {}
+        self._asked: Outstanding[int, _Asked] = Outstanding(RESEND_MS)
 
     def ask(self, key: str, waiter: object, now_ms: float) -> Lookup:
         """Returns the question to send."""
         self._number -= 1
         lookup = Lookup(key, self._node, self._number)
-        self._asked[self._number] = _Asked(lookup, waiter, now_ms)
+        self._asked.add(self._number, _Asked(lookup, waiter), now_ms)
         return lookup
 
     def on_reply(self, reply: ClaimReply) -> Action | None:
@@ -51,7 +50,7 @@
 
         Each question is answered once.
         """
-        asked = self._asked.pop(reply.nonce, None)
+        asked = self._asked.pop(reply.nonce)
         if asked is None:
             return None
         if reply.outcome:
@@ -65,22 +64,12 @@
 
     def due(self, now_ms: float) -> list[Lookup]:
         """Returns the questions to send again now."""
-        due = []
-        for asked in self._asked.values():
-            if now_ms - asked.sent_ms >= RESEND_MS:
-                asked.sent_ms = now_ms
-                due.append(asked.lookup)
-        return due
+        return [asked.lookup for asked in self._asked.due(now_ms)]
 
     def expire(self, now_ms: float) -> list[Action]:
         """Returns, once, what to tell those whose questions stay open."""
-        late = [
-            number
-            for number, asked in self._asked.items()
-            if now_ms - asked.since_ms >= TIMEOUT_MS
-        ]
         problem = Problem(Kind.NO_REGISTRY, "", Ran.MAYBE, RETRY_AFTER_MS)
         return [
-            Answer(self._asked.pop(number).waiter, render_problem(problem))
-            for number in late
+            Answer(asked.waiter, render_problem(problem))
+            for _, asked in self._asked.expire(now_ms, TIMEOUT_MS)
         ]
--- a/packages/dispatch/src/clayfield/dispatch/queue.py
+++ b/packages/dispatch/src/clayfield/dispatch/queue.py
@@ -175,15 +175,6 @@
         )
         return self.total_ms(waiting.rank - 1) + same_rank
 
-    def all_open(self) -> list[Waiting]:
-        """Returns every open request."""
-        return [
-            item[2]
-            for heap in self._heaps.values()
-            for item in heap
-            if item[2].is_open
-        ]
-
     def _account(self, waiting: Waiting, tasks: int) -> None:
         work_ms = tasks * waiting.task_ms
         self.work_ms[waiting.rank] = (
