--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -5,12 +5,18 @@
 """
 
 import enum
+import os
 import sys
+import time
 import typing
 
 import logbook
 import msgspec
 
+# Bounds of what is written to standard output.
+LINES_A_S = 100.0
+BURST_LINES = 400.0
+
 
 class _Spec(typing.NamedTuple):
     number: int
@@ -43,6 +49,16 @@
         "a certificate could not be read; the earlier one stays",
         ("path", "error"),
     )
+    NODE_STARTED = _Spec(
+        1008, logbook.INFO, "the node started", ("node", "role")
+    )
+    NODE_STOPPED = _Spec(1009, logbook.INFO, "the node ended", ("node",))
+    NODE_FAILED = _Spec(
+        1010, logbook.CRITICAL, "the node cannot go on", ("node", "error")
+    )
+    RELOADED = _Spec(
+        1011, logbook.INFO, "the settings were read again", ("node",)
+    )
     PEER_CONNECTED = _Spec(
         2001, logbook.INFO, "a stream to a peer opened", ("peer",)
     )
@@ -58,6 +74,21 @@
     LEADING = _Spec(
         2004, logbook.INFO, "this box began to lead a group", ("group", "term")
     )
+    LEADING_ENDED = _Spec(
+        2005, logbook.INFO, "this box leads no more", ("group", "term")
+    )
+    GRANT_KNOWN = _Spec(
+        2006,
+        logbook.INFO,
+        "a node learnt who holds the workers",
+        ("epoch", "holder"),
+    )
+    HOLDING = _Spec(
+        2007, logbook.INFO, "this node began to hold workers", ("epoch",)
+    )
+    HOLDING_ENDED = _Spec(
+        2008, logbook.INFO, "this node holds workers no more", ("epoch",)
+    )
     CONFIG_IN_FORCE = _Spec(
         3001, logbook.INFO, "a configuration came into force", ("version",)
     )
@@ -88,6 +119,12 @@
         "a worker broke the protocol",
         ("worker", "error"),
     )
+    JOB_NOT_DONE = _Spec(
+        6001,
+        logbook.INFO,
+        "a job ended without success",
+        ("job", "verdict", "reason", "retry_after_ms"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was contained", ("error",)
     )
@@ -134,6 +171,53 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
+class BoundedJsonLines(JsonLines):
+    """Writes lines to standard output, within bounds, and never waits.
+
+    At most `BURST_LINES` at once and `LINES_A_S` on average; what is beyond,
+    or what the reader of the output does not take in time, is dropped and
+    counted. Each line that follows tells how many were dropped before it.
+    """
+
+    def __init__(self, level: int):
+        super().__init__(sys.stdout, level=level)
+        self._fd = sys.stdout.fileno()
+        os.set_blocking(self._fd, False)
+        self._allowance = BURST_LINES
+        self._filled_s = time.monotonic()
+        self._dropped = 0
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes a record, or counts it as dropped."""
+        if not self._may_write(record):
+            self._dropped += 1
+            return
+        line = self.format(record)
+        if self._dropped:
+            line = f'{line[:-1]},"dropped_before":{self._dropped}}}'
+        try:
+            os.write(self._fd, line.encode() + b"\n")
+            self._dropped = 0
+        except OSError:
+            self._dropped += 1
+
+    def _may_write(self, record: logbook.LogRecord) -> bool:
+        now_s = time.monotonic()
+        gained = (now_s - self._filled_s) * LINES_A_S
+        self._filled_s = now_s
+        self._allowance = min(BURST_LINES, self._allowance + gained)
+        if self._allowance < 1 and record.level < logbook.WARNING:
+            return False
+        self._allowance = max(0.0, self._allowance - 1)
+        return True
+
+
+def set_up_bounded(level: str) -> None:
+    """Sends events to standard output, bounded, without ever waiting."""
+    handler = BoundedJsonLines(logbook.lookup_level(level.upper()))
+    handler.push_application()
+
+
 def set_up(level: str) -> None:
     """Sends events of a level and above to standard error."""
     handler = JsonLines(sys.stderr, level=logbook.lookup_level(level.upper()))
--- a/packages/daemon/src/clayfield/daemon/store.py
+++ b/packages/daemon/src/clayfield/daemon/store.py
@@ -49,9 +49,13 @@
         state: what the records added up to when it was opened.
     """
 
-    def __init__(self, folder: str):
+    def __init__(self, folder: str, identity: int | None = None):
         """Opens a folder, or makes it.
 
+        Args:
+            folder: its path.
+            identity: what a new folder is named by, None for the time.
+
         Raises:
             ClayfieldError: of kind STORE_DAMAGED or STORE_FAILED.
         """
@@ -61,7 +65,7 @@
         self._path = self._folder
         try:
             self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
-            self.made = self._read_made()
+            self.made = self._read_made(identity)
             records = self._open_log()
         except OSError as exc:
             raise ClayfieldError(Kind.STORE_FAILED, f"{exc}.") from exc
@@ -70,7 +74,7 @@
         self.state = replay(records)
         self._written = replay(records)
 
-    def _read_made(self) -> int:
+    def _read_made(self, identity: int | None) -> int:
         path = self._folder / MADE_NAME
         if path.exists():
             return int(path.read_text())
@@ -78,7 +82,7 @@
             raise ClayfieldError(
                 Kind.STORE_DAMAGED, f"{path} is missing beside a log."
             )
-        made = time.time_ns()
+        made = time.time_ns() if identity is None else identity
         self._write_whole(path, str(made).encode())
         return made
 
--- /dev/null
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -0,0 +1,287 @@
+"""A control node as a process: operators, workers' statements, the log."""
+
+import random
+from collections.abc import Callable
+
+from twisted.internet import reactor, threads
+
+from clayfield.base import MonotonicClock
+from clayfield.base.events import Event, emit
+from clayfield.cluster import (
+    ControlNode,
+    Persist,
+    Publish,
+    Send,
+    Settled,
+    VoterPolicy,
+    WriteOutcome,
+    first_records,
+)
+from clayfield.daemon.store import Store
+from clayfield.node.faces import (
+    HttpReply,
+    LeaveCall,
+    OperatorProtocol,
+    ReadCall,
+    StatementCall,
+    WriteCall,
+)
+from clayfield.node.httpserver import HttpBounds, HttpRequest, HttpServer
+from clayfield.node.process import NodeProcess
+from clayfield.node.settings import NodeSettings, place_text
+from clayfield.node.streams import StreamListener, Streams
+from clayfield.state.membership import node_name
+from clayfield.wire.cluster import NodeGreeting
+from clayfield.wire.messages import Message
+
+ROLE = "control"
+TICKS_A_CHECK = 25
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+# The identity of the stores with which a cluster is first formed; those made
+# later have one of their own.
+FIRST_STORE = 0
+STOP_S = 0.3
+
+
+class ControlProcess(NodeProcess, StreamListener):
+    """The process of one control node."""
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        operators: OperatorProtocol,
+        reload_settings: Callable[[], NodeSettings],
+    ):
+        super().__init__(cfg.name, ROLE)
+        self._cfg = cfg
+        self._operators = operators
+        self._reload_settings = reload_settings
+        self._clock = MonotonicClock()
+        self._store = self._open_store()
+        node = node_name(place_text(cfg.peers), self._store.made)
+        self._control = ControlNode(
+            node,
+            cfg.hall,
+            self._clock,
+            random.Random(),
+            self._store.state,
+            VoterPolicy(2 * cfg.losses + 1),
+            cfg.worker_heartbeat_ms,
+        )
+        self._streams = Streams(
+            reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
+        )
+        self._server = HttpServer(reactor, self._on_request, _bounds)
+        self._writes: dict[int, HttpRequest] = {}
+        self._next_write = 0
+        self._ticks = 0
+        self._is_stopping = False
+        self._was_leading = False
+        self._is_storing = False
+        self._to_store: list[Persist] = []
+
+    def _open_store(self) -> Store:
+        """Opens the store, and fills that of a first voter."""
+        own = place_text(self._cfg.peers)
+        seeds = [place_text(seed) for seed in self._cfg.seeds]
+        is_first = self._cfg.is_first_start and own in seeds
+        store = Store(
+            self._cfg.data_folder, identity=FIRST_STORE if is_first else None
+        )
+        if is_first and not store.state.instance:
+            voters = tuple(node_name(seed, FIRST_STORE) for seed in seeds)
+            store.write(first_records(voters))
+            store.close()
+            store = Store(self._cfg.data_folder)
+        return store
+
+    # Life.
+
+    def start(self) -> None:
+        """Listens and connects."""
+        self._streams.start()
+        self._server.listen(self._cfg.operators)
+        seeds = tuple(place_text(seed) for seed in self._cfg.seeds)
+        self._control.learn_addresses(seeds)
+
+    def tick(self) -> None:
+        """Lets time act."""
+        self._control.tick()
+        for address in self._control.addresses:
+            self._streams.dial(address)
+        self._ticks += 1
+        if self._ticks % TICKS_A_CHECK == 0:
+            self._server.check()
+        is_leading = self._control.is_sure
+        if is_leading != self._was_leading:
+            self._was_leading = is_leading
+            event = Event.LEADING if is_leading else Event.LEADING_ENDED
+            emit(event, group=ROLE, term=self._control.consensus.term)
+
+    def reload(self) -> None:
+        """Reads the settings again; new seeds are dialled."""
+        cfg = self._reload_settings()
+        emit(Event.RELOADED, node=self._cfg.name)
+        self._control.learn_addresses(
+            tuple(place_text(seed) for seed in cfg.seeds)
+        )
+
+    def begin_stop(self) -> None:
+        """Begins a planned stop: leads no more, answers what is open."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._server.begin_close()
+        self._control.consensus.transfer()
+        self.kick()
+        self.call_later(STOP_S, self._finish_stop)
+
+    def _finish_stop(self) -> None:
+        self._server.stop()
+        self._streams.stop()
+        self.call_later(0.05, self.end)
+
+    # Operators and workers.
+
+    def _on_request(self, request: HttpRequest) -> None:
+        call = self._operators.read_call(request)
+        match call:
+            case HttpReply():
+                _reply(request, call)
+            case WriteCall():
+                self._on_write(request, call)
+            case ReadCall():
+                self._on_read(request)
+            case StatementCall(info=info):
+                self._on_statement(request, info)
+            case LeaveCall(name=name):
+                self._control.on_worker_left(name)
+                _reply(request, HttpReply(200))
+        self.kick()
+
+    def _on_statement(self, request: HttpRequest, info: object) -> None:
+        if not self._control.has_entries:
+            _reply(request, HttpReply(503))
+            return
+        self._control.on_worker(info)
+        _reply(request, HttpReply(200))
+
+    def _on_write(self, request: HttpRequest, call: WriteCall) -> None:
+        self._next_write += 1
+        number = self._next_write
+        is_taken = self._control.write(number, call.version, call.document)
+        if is_taken:
+            self._writes[number] = request
+        else:
+            self._send_to_leader(request)
+
+    def _on_read(self, request: HttpRequest) -> None:
+        if not self._control.is_sure:
+            self._send_to_leader(request)
+        elif self._control.state.version:
+            _reply(request, HttpReply(200, self._control.state.document))
+        else:
+            _reply(request, HttpReply(503))
+
+    def _send_to_leader(self, request: HttpRequest) -> None:
+        leader = self._control.leader_address
+        if not leader or leader == place_text(self._cfg.peers):
+            _reply(request, HttpReply(503))
+            return
+        host = leader.rpartition(":")[0]
+        port = self._cfg.operators[1]
+        reply = self._operators.write_moved(host, port, request.path)
+        _reply(request, reply)
+
+    def _on_settled(self, settled: Settled) -> None:
+        request = self._writes.pop(settled.request, None)
+        if request is None:
+            return
+        is_in_force = settled.outcome is WriteOutcome.IN_FORCE
+        _reply(request, HttpReply(200 if is_in_force else 503))
+
+    # Streams.
+
+    def on_open(self, greeting: NodeGreeting) -> None:
+        """Learns that a stream to a node is open."""
+        self._control.on_open(greeting)
+        self.kick()
+
+    def on_closed(self, node: str) -> None:
+        """Learns that no stream to a node is open any more."""
+        self._control.on_closed(node)
+        self.kick()
+
+    def on_messages(self, node: str, messages: list[Message]) -> None:
+        """Takes messages of a node."""
+        for message in messages:
+            self._control.on_message(node, message)
+        self.kick()
+
+    # Actions.
+
+    def carry_out(self) -> None:
+        """Carries out what the control node decided."""
+        for action in self._control.take_actions():
+            match action:
+                case Send(node=node, message=message):
+                    self._streams.send(node, message)
+                case Publish(message=message):
+                    self._streams.publish("entry", message)
+                case Persist():
+                    self._persist(action)
+                case Settled():
+                    self._on_settled(action)
+
+    def _persist(self, action: Persist) -> None:
+        """Stores records in turn.
+
+        A message may acknowledge records of earlier actions, so it too waits
+        until all that came before it is on stable storage.
+        """
+        is_free = not self._is_storing and not self._to_store
+        if is_free and not action.records:
+            self._after_sync(action)
+            return
+        self._to_store.append(action)
+        self._store_next()
+
+    def _store_next(self) -> None:
+        if self._is_storing or not self._to_store:
+            return
+        self._is_storing = True
+        batch = self._to_store
+        self._to_store = []
+        records = [record for one in batch for record in one.records]
+        writing = threads.deferToThread(self._store.write, records)
+        writing.addCallbacks(
+            self._on_stored, self._on_store_failed, (batch,)
+        )
+
+    def _on_stored(self, _: None, batch: list[Persist]) -> None:
+        self._is_storing = False
+        for action in batch:
+            self._after_sync(action)
+        self._store_next()
+        self.kick()
+
+    def _after_sync(self, action: Persist) -> None:
+        for message in action.messages:
+            self._streams.send(message.to, message)
+        self._control.on_persisted(action.last_index)
+
+    def _on_store_failed(self, failure: object) -> None:
+        emit(
+            Event.STORE_FAILED,
+            path=self._cfg.data_folder,
+            error=failure.getErrorMessage(),
+        )
+        self.fail(failure.getErrorMessage())
+
+
+def _bounds() -> HttpBounds:
+    return HttpBounds(body_bytes=MAX_DOCUMENT_BYTES)
+
+
+def _reply(request: HttpRequest, reply: HttpReply) -> None:
+    request.answer(reply.status, reply.body, headers=reply.headers)
--- /dev/null
+++ b/packages/node/src/clayfield/node/httpclient.py
@@ -0,0 +1,183 @@
+"""Calls to workers over persistent HTTP/1.1 connections.
+
+A connection carries one call at a time. A call that gets no answer within
+its time is given up and its connection aborted; whether it was carried out
+is then not known.
+"""
+
+import enum
+
+import httptools
+from twisted.internet import defer, error, interfaces, protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.python import failure
+
+from clayfield.base.settings import address as read_address
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+IDLE_S = 10.0
+
+
+class CallEnd(enum.Enum):
+    """How a call ended.
+
+    UNREACHED says that no byte of it has left; LOST that it may have been
+    carried out, or may yet be.
+    """
+
+    ANSWERED = "answered"
+    UNREACHED = "unreached"
+    LOST = "lost"
+
+
+class CallAnswer:
+    """What came of a call.
+
+    Attributes:
+        end: how it ended.
+        status: the HTTP status, 0 without an answer.
+        body: the answer's body.
+    """
+
+    __slots__ = ("body", "end", "status")
+
+    def __init__(self, end: CallEnd, status: int = 0, body: bytes = b""):
+        self.end = end
+        self.status = status
+        self.body = body
+
+
+class _Connection(protocol.Protocol):
+    """One connection."""
+
+    def __init__(self, pool: "ConnectionPool"):
+        self._pool = pool
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body = bytearray()
+        self._waiter: defer.Deferred | None = None
+        self._timer: interfaces.IDelayedCall | None = None
+        self.is_open = True
+        self.idle_since_s = 0.0
+
+    def call(self, request: bytes, timeout_s: float) -> defer.Deferred:
+        """Writes a call; the result is a `CallAnswer`."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._body.clear()
+        self._waiter = defer.Deferred()
+        reactor = self._pool.reactor
+        self._timer = reactor.callLater(timeout_s, self._on_timeout)
+        self.transport.write(request)
+        return self._waiter
+
+    def _on_timeout(self) -> None:
+        self.transport.abortConnection()
+        self._finish(CallAnswer(CallEnd.LOST))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - twisted
+        """Takes bytes."""
+        if self._parser is None:
+            self.transport.abortConnection()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abortConnection()
+            self._finish(CallAnswer(CallEnd.LOST))
+
+    def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
+        """Learns that the connection is gone."""
+        self.is_open = False
+        self._pool.on_closed(self)
+        self._finish(CallAnswer(CallEnd.LOST))
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        self._body += body
+        if len(self._body) > MAX_ANSWER_BYTES:
+            self.transport.abortConnection()
+
+    def on_message_complete(self) -> None:
+        """Takes the end of the answer."""
+        if self._waiter is None:
+            return
+        status = self._parser.get_status_code()
+        if self._parser.should_keep_alive() and self.is_open:
+            self._pool.on_idle(self)
+        else:
+            self.transport.loseConnection()
+        self._finish(CallAnswer(CallEnd.ANSWERED, status, bytes(self._body)))
+
+    def _finish(self, answer: CallAnswer) -> None:
+        waiter = self._waiter
+        if waiter is None:
+            return
+        self._waiter = None
+        self._parser = None
+        if self._timer and self._timer.active():
+            self._timer.cancel()
+        waiter.callback(answer)
+
+
+class ConnectionPool(protocol.Factory):
+    """The connections to one address.
+
+    Attributes:
+        reactor: of twisted.
+    """
+
+    noisy = False
+
+    def __init__(self, reactor: interfaces.IReactorTCP, address: str):
+        host, port = read_address(address)
+        self.reactor = reactor
+        self._endpoint = TCP4ClientEndpoint(
+            reactor, host, port, timeout=CONNECT_TIMEOUT_S
+        )
+        self._idle: list[_Connection] = []
+        self._open: set[_Connection] = set()
+
+    def buildProtocol(self, addr: object) -> _Connection:  # noqa: N802
+        """Makes a connection's protocol."""
+        return _Connection(self)
+
+    def call(self, request: bytes, timeout_s: float) -> defer.Deferred:
+        """Makes a call; the result is a `CallAnswer`, never a failure."""
+        now_s = self.reactor.seconds()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open and now_s - connection.idle_since_s < IDLE_S:
+                return connection.call(request, timeout_s)
+            connection.transport.loseConnection()
+        connecting = self._endpoint.connect(self)
+        connecting.addCallbacks(
+            self._on_connected, self._on_refused, (request, timeout_s)
+        )
+        return connecting
+
+    def _on_connected(
+        self, connection: _Connection, request: bytes, timeout_s: float
+    ) -> defer.Deferred:
+        connection.transport.setTcpNoDelay(True)
+        self._open.add(connection)
+        return connection.call(request, timeout_s)
+
+    def _on_refused(self, reason: failure.Failure) -> CallAnswer:
+        reason.trap(error.ConnectError, error.ConnectionClosed, OSError)
+        return CallAnswer(CallEnd.UNREACHED)
+
+    def on_idle(self, connection: _Connection) -> None:
+        """Takes back a connection that is free again."""
+        connection.idle_since_s = self.reactor.seconds()
+        self._idle.append(connection)
+
+    def on_closed(self, connection: _Connection) -> None:
+        """Forgets a connection that is gone."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close(self) -> None:
+        """Ends all connections at once."""
+        for connection in list(self._open):
+            connection.transport.abortConnection()
--- /dev/null
+++ b/packages/node/src/clayfield/node/workers.py
@@ -0,0 +1,115 @@
+"""Carries the holder's orders to workers, and their answers back."""
+
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from clayfield.base import Clock
+from clayfield.node.faces import WorkerProtocol
+from clayfield.node.httpclient import CallAnswer, ConnectionPool
+from clayfield.pool import Entry, HoldWorker, StartRun, StopRun
+
+# How long an order may go without an answer before it counts as lost.
+ORDER_TIMEOUT_S = 0.15
+# What a hold may take beyond the time that it is told to wait.
+HOLD_SLACK_S = 0.25
+MS_PER_S = 1000.0
+IDLE_POOL_S = 30.0
+
+Kick = Callable[[], None]
+OnAnswer = Callable[[CallAnswer], None]
+
+
+class WorkerOrders:
+    """Sends orders; the entry hears of each answer exactly once."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTCP,
+        clock: Clock,
+        protocol: WorkerProtocol,
+        entry: Entry,
+        kick: Kick,
+    ):
+        self._reactor = reactor
+        self._clock = clock
+        self._protocol = protocol
+        self._entry = entry
+        self._kick = kick
+        self._pools: dict[str, ConnectionPool] = {}
+        self._used_s: dict[str, float] = {}
+
+    def start(self, order: StartRun) -> None:
+        """Sends a start."""
+
+        def on_answer(answer: CallAnswer) -> None:
+            self._entry.on_start_answer(
+                order.worker,
+                order.task_id,
+                order.number,
+                self._protocol.read_order_answer(answer),
+            )
+            self._kick()
+
+        request = self._protocol.write_start(order)
+        self._call(order.address, request, ORDER_TIMEOUT_S, on_answer)
+
+    def stop(self, order: StopRun) -> None:
+        """Sends a stop."""
+
+        def on_answer(answer: CallAnswer) -> None:
+            self._entry.on_stop_answer(
+                order.worker,
+                order.task_id,
+                order.number,
+                self._protocol.read_order_answer(answer),
+            )
+            self._kick()
+
+        request = self._protocol.write_stop(order)
+        self._call(order.address, request, ORDER_TIMEOUT_S, on_answer)
+
+    def hold(self, order: HoldWorker) -> None:
+        """Sends a hold."""
+        sent_ms = self._clock.now_ms()
+
+        def on_answer(answer: CallAnswer) -> None:
+            self._entry.on_hold_answer(
+                order.worker,
+                order.call,
+                sent_ms,
+                self._protocol.read_hold_answer(answer),
+            )
+            self._kick()
+
+        request = self._protocol.write_hold(order)
+        timeout_s = order.wait_ms / MS_PER_S + HOLD_SLACK_S
+        self._call(order.address, request, timeout_s, on_answer)
+
+    def _call(
+        self,
+        address: str,
+        request: bytes,
+        timeout_s: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(
+                self._reactor, address
+            )
+        self._used_s[address] = self._reactor.seconds()
+        pool.call(request, timeout_s).addCallback(on_answer)
+
+    def drop_unused(self) -> None:
+        """Closes connections to addresses that were not used for long."""
+        since_s = self._reactor.seconds() - IDLE_POOL_S
+        for address, used_s in list(self._used_s.items()):
+            if used_s < since_s:
+                del self._used_s[address]
+                self._pools.pop(address).close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for pool in self._pools.values():
+            pool.close()
--- /dev/null
+++ b/packages/pool/src/clayfield/pool/__init__.py
@@ -0,0 +1,48 @@
+"""The pool of workers: jobs, placement, order, admission and holding.
+
+Pure decisions: they are fed events and a clock and return actions.
+"""
+
+from clayfield.pool.entry import (
+    AnswerCaller,
+    AnswerCancel,
+    Dial,
+    Entry,
+    EntryAction,
+)
+from clayfield.pool.fleet import FleetTiming
+from clayfield.pool.orders import (
+    EndedRow,
+    EndKind,
+    HoldAnswer,
+    HoldWorker,
+    OrderAnswer,
+    OrderResult,
+    RunningRow,
+    StartRun,
+    StopRun,
+    TellEntry,
+)
+from clayfield.pool.routing import Routes
+from clayfield.pool.tasks import TaskId
+
+__all__ = [
+    "AnswerCaller",
+    "AnswerCancel",
+    "Dial",
+    "EndKind",
+    "EndedRow",
+    "Entry",
+    "EntryAction",
+    "FleetTiming",
+    "HoldAnswer",
+    "HoldWorker",
+    "OrderAnswer",
+    "OrderResult",
+    "Routes",
+    "RunningRow",
+    "StartRun",
+    "StopRun",
+    "TaskId",
+    "TellEntry",
+]
--- /dev/null
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -0,0 +1,377 @@
+"""The holder's decisions: which task runs on which worker, in what order."""
+
+from clayfield.base import Clock
+from clayfield.pool.estimates import Estimates
+from clayfield.pool.fleet import (
+    Fleet,
+    FleetListener,
+    FleetTiming,
+    RunEnd,
+    is_overdue,
+)
+from clayfield.pool.forecast import Forecast
+from clayfield.pool.orders import EndKind, PoolAction, TellEntry
+from clayfield.pool.placement import choose_worker
+from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
+from clayfield.pool.worker import Worker
+from clayfield.wire.cluster import (
+    CancelJob,
+    JobCancelled,
+    JobEnded,
+    SubmitJob,
+)
+from clayfield.wire.jobs import Job, Reason, Verdict, WorkerInfo
+
+# What a start and the notice of an end cost beside the task itself.
+OVERHEAD_MS = 4.0
+# A job may be refused for free until it has waited for this part of its
+# objective.
+FREE_REFUSAL_SHARE = 0.2
+# Nobody pays for a job that ends later than this many times its objective.
+WORTHLESS_SHARE = 3.0
+# How long the jobs of an earlier holder wait for the workers to be adopted.
+ADOPTION_MS = 300.0
+# Answers that are kept for callers that ask again.
+KEPT_ANSWERS_MS = 20_000.0
+LEAST_RETRY_MS = 50.0
+
+
+class Dispatcher(FleetListener):
+    """Runs the jobs of all entries on the workers that this node holds.
+
+    Attributes:
+        fleet: the workers.
+        is_fenced: whether a worker obeys a higher fence than this holder's.
+        actions: what is to be done; the caller empties it.
+    """
+
+    def __init__(self, clock: Clock, timing: FleetTiming, fence: int):
+        self._clock = clock
+        self.fleet = Fleet(clock, timing, self, fence)
+        self.is_fenced = False
+        self.actions: list[PoolAction] = self.fleet.actions
+        self._jobs: dict[str, OpenJob] = {}
+        self._queue: dict[str, OpenJob] = {}
+        self._unsettled: dict[str, tuple[float, OpenJob]] = {}
+        self._answers: dict[str, tuple[float, JobEnded]] = {}
+        self._estimates = Estimates()
+        self._is_changed = True
+
+    @property
+    def open_jobs(self) -> int:
+        """How many jobs have not ended."""
+        return len(self._jobs)
+
+    # Events.
+
+    def on_worker(self, info: WorkerInfo) -> None:
+        """Takes a worker's statement."""
+        self.fleet.on_worker(info)
+        self._is_changed = True
+
+    def on_submit(self, entry: str, submit: SubmitJob) -> None:
+        """Takes a job of an entry."""
+        key = submit.job.key
+        known = self._jobs.get(key)
+        if known:
+            known.entries.add(entry)
+            return
+        answered = self._answers.get(key)
+        if answered and answered[1].verdict is not Verdict.REFUSED:
+            self.actions.append(TellEntry(entry, answered[1]))
+            return
+        arrived_ms = self._clock.now_ms() - submit.age_ms
+        first_run = 1 + (submit.epoch * 100 if submit.was_sent else 0)
+        opened = OpenJob(submit.job, entry, arrived_ms, first_run)
+        self._jobs[key] = opened
+        if submit.was_sent:
+            self._unsettled[key] = (self._clock.now_ms(), opened)
+            opened.is_placeable = False
+        elif not self._is_admitted(opened):
+            return
+        self._queue[key] = opened
+        self._is_changed = True
+
+    def on_cancel(self, entry: str, cancel: CancelJob) -> None:
+        """Takes the wish to end a job."""
+        opened = self._jobs.get(cancel.key)
+        if opened:
+            self._finish(opened, Verdict.CANCELLED, Reason.CANCELLED)
+        if cancel.request:
+            answer = JobCancelled(cancel.request, opened is not None)
+            self.actions.append(TellEntry(entry, answer))
+
+    def on_run_end(self, run: Run, end: RunEnd, worker: Worker) -> None:
+        """Learns that a run has ended."""
+        self._is_changed = True
+        task = run.task
+        if task is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._learn(run, end, worker, now_ms)
+        if task.run is not run:
+            return
+        task.run = None
+        if task.job.is_ended:
+            return
+        if end is RunEnd.DONE:
+            task.state = TaskState.DONE
+            if task.job.is_done:
+                self._finish(task.job, Verdict.COMPLETED, Reason.NONE)
+            else:
+                self._queue_again(task.job)
+            return
+        if end is RunEnd.FAILED:
+            task.failures += 1
+            task.avoided.add(worker.name)
+            if task.failures >= task.job.job.max_attempts:
+                self._finish(task.job, Verdict.FAILED, Reason.ATTEMPTS)
+                return
+        task.state = TaskState.WAITING
+        self._queue_again(task.job)
+
+    def _queue_again(self, opened: OpenJob) -> None:
+        self._queue[opened.job.key] = opened
+
+    def _learn(
+        self, run: Run, end: RunEnd, worker: Worker, now_ms: float
+    ) -> None:
+        if end is RunEnd.FAILED:
+            worker.on_failure(run.task_id.job, now_ms)
+        if end is not RunEnd.DONE or run.answered_ms is None:
+            return
+        took_ms = now_ms - run.answered_ms
+        worker.on_success(took_ms, run.expected_ms)
+        self._estimates.on_end(
+            run.task.job.job.queue,
+            run.task.step.estimate_ms,
+            took_ms * worker.speed,
+        )
+
+    def on_fenced(self, worker: Worker) -> None:
+        """Learns that a worker obeys a higher fence."""
+        self.is_fenced = True
+
+    def raise_fence(self, fence: int) -> None:
+        """Goes on under a higher fence of its own."""
+        self.fleet.fence = fence
+        self.is_fenced = False
+        for worker in self.fleet.workers.values():
+            worker.next_hold_ms = self._clock.now_ms()
+
+    # Time.
+
+    def tick(self) -> None:
+        """Lets time act."""
+        now_ms = self._clock.now_ms()
+        self.fleet.tick()
+        self._settle(now_ms)
+        for opened in list(self._jobs.values()):
+            if now_ms >= opened.timeout_at_ms:
+                self._give_up(opened, Reason.TIMED_OUT)
+        self._review(now_ms)
+        for key, (answered_ms, _) in list(self._answers.items()):
+            if now_ms - answered_ms < KEPT_ANSWERS_MS:
+                break
+            del self._answers[key]
+        self._is_changed = True
+
+    def _settle(self, now_ms: float) -> None:
+        """Finds what became of jobs that an earlier holder began."""
+        if not self._unsettled:
+            return
+        is_adopted = self.fleet.is_adopted()
+        for since_ms, opened in list(self._unsettled.values()):
+            if is_adopted:
+                del self._unsettled[opened.job.key]
+                self._claim_runs(opened)
+            elif now_ms - since_ms >= ADOPTION_MS:
+                self._give_up(opened, Reason.HOLDER_LOST)
+
+    def _claim_runs(self, opened: OpenJob) -> None:
+        for task in opened.all_tasks():
+            if self.fleet.claim(task, self._expected_ms(opened.job, task)):
+                task.state = TaskState.PLACED
+                opened.is_offered = True
+            elif self.fleet.past_end(task.id) is EndKind.DONE:
+                task.state = TaskState.DONE
+        opened.is_placeable = True
+        if opened.is_done:
+            self._finish(opened, Verdict.COMPLETED, Reason.NONE)
+
+    # Admission.
+
+    def _expected_ms(self, job: Job, task: Task) -> float:
+        return self._estimates.expected_ms(job.queue, task.step.estimate_ms)
+
+    def _longest_ms(self, job: Job) -> float:
+        """Returns the time of the longest chain of steps."""
+        ends: list[float] = []
+        for step in job.steps:
+            before_ms = max((ends[n] for n in step.after), default=0.0)
+            own_ms = self._estimates.expected_ms(job.queue, step.estimate_ms)
+            ends.append(before_ms + own_ms)
+        return max(ends, default=0.0)
+
+    def _objective_ms(self, job: Job) -> float:
+        return job.stretch * self._longest_ms(job) + job.target_ms
+
+    def _places(self, now_ms: float) -> Forecast:
+        """Returns when each place of the open workers becomes free."""
+        size = self._usual_cpu()
+        free_ms: list[float] = []
+        for worker in self.fleet.workers.values():
+            if not worker.is_open(now_ms):
+                continue
+            free_ms += [0.0] * int(worker.free_cpu // size)
+            for run in worker.runs.values():
+                free_ms.append(_left_ms(run, now_ms))
+        return Forecast(free_ms)
+
+    def _usual_cpu(self) -> float:
+        sizes = [
+            step.cpu for opened in self._jobs.values() for step in opened.job.steps
+        ]
+        return max(1.0, sum(sizes) / len(sizes)) if sizes else 1.0
+
+    def _is_admitted(self, opened: OpenJob) -> bool:
+        """Tells whether a new job can be ended in time; if not, refuses it."""
+        job = opened.job
+        if not self._could_run(job):
+            self._finish(opened, Verdict.REFUSED, Reason.NO_WORKER)
+            return False
+        now_ms = self._clock.now_ms()
+        forecast = self._places(now_ms)
+        if not forecast.has_places:
+            return True
+        order = self._order_key(opened, now_ms)
+        for other in self._queue.values():
+            if self._order_key(other, now_ms) <= order:
+                self._add_to(forecast, other)
+        end_ms = self._add_to(forecast, opened)
+        age_ms = now_ms - opened.arrived_ms
+        if age_ms + end_ms + OVERHEAD_MS <= self._objective_ms(job):
+            return True
+        self._refuse(opened, end_ms)
+        return False
+
+    def _could_run(self, job: Job) -> bool:
+        workers = [
+            worker
+            for worker in self.fleet.workers.values()
+            if worker.info.service == job.service
+        ]
+        if not workers:
+            return True
+        return all(
+            any(worker.could_fit(step) for worker in workers)
+            for step in job.steps
+        )
+
+    def _add_to(self, forecast: Forecast, opened: OpenJob) -> float:
+        """Puts a job's waiting tasks on the places; returns its end."""
+        end_ms = 0.0
+        for task in opened.waiting_tasks():
+            expected_ms = self._expected_ms(opened.job, task)
+            end_ms = max(end_ms, forecast.add(1, expected_ms))
+        return end_ms
+
+    def _refuse(self, opened: OpenJob, end_ms: float) -> None:
+        retry_ms = max(LEAST_RETRY_MS, end_ms)
+        self._finish(opened, Verdict.REFUSED, Reason.TOO_LATE, retry_ms)
+
+    def _review(self, now_ms: float) -> None:
+        """Refuses waiting jobs that will be late, while that is free."""
+        if not self._queue:
+            return
+        forecast = self._places(now_ms)
+        if not forecast.has_places:
+            return
+        for opened in self._in_order(now_ms):
+            end_ms = self._add_to(forecast, opened)
+            if opened.is_offered or not opened.is_placeable:
+                continue
+            objective_ms = self._objective_ms(opened.job)
+            age_ms = now_ms - opened.arrived_ms
+            is_late = age_ms + end_ms + OVERHEAD_MS > objective_ms
+            if is_late and age_ms <= objective_ms * FREE_REFUSAL_SHARE:
+                self._refuse(opened, end_ms)
+
+    # Placement.
+
+    def _order_key(
+        self, opened: OpenJob, now_ms: float
+    ) -> tuple[bool, int, float]:
+        job = opened.job
+        left_ms = opened.arrived_ms + self._objective_ms(job) - now_ms
+        is_late = left_ms < self._longest_ms(job) * 0.8
+        return is_late, job.priority, opened.arrived_ms
+
+    def _in_order(self, now_ms: float) -> list[OpenJob]:
+        return sorted(
+            self._queue.values(),
+            key=lambda opened: self._order_key(opened, now_ms),
+        )
+
+    def place(self) -> None:
+        """Starts what can be started now."""
+        if not self._is_changed:
+            return
+        self._is_changed = False
+        now_ms = self._clock.now_ms()
+        for opened in self._in_order(now_ms):
+            if opened.is_placeable:
+                self._place_job(opened, now_ms)
+
+    def _place_job(self, opened: OpenJob, now_ms: float) -> None:
+        is_all_placed = True
+        for task in opened.waiting_tasks():
+            worker = choose_worker(
+                task, self.fleet.workers.values(), now_ms
+            )
+            if worker is None:
+                is_all_placed = False
+                continue
+            expected_ms = self._expected_ms(opened.job, task)
+            self.fleet.start(worker, task, expected_ms)
+            task.state = TaskState.PLACED
+            opened.is_offered = True
+        if is_all_placed:
+            self._queue.pop(opened.job.key, None)
+
+    # Ends.
+
+    def _give_up(self, opened: OpenJob, reason: Reason) -> None:
+        is_clean = not opened.is_offered and opened.job.key not in (
+            self._unsettled
+        )
+        verdict = Verdict.REFUSED if is_clean else Verdict.ABANDONED
+        self._finish(opened, verdict, reason, LEAST_RETRY_MS)
+
+    def _finish(
+        self,
+        opened: OpenJob,
+        verdict: Verdict,
+        reason: Reason,
+        retry_after_ms: float = 0.0,
+    ) -> None:
+        key = opened.job.key
+        opened.is_ended = True
+        self._jobs.pop(key, None)
+        self._queue.pop(key, None)
+        self._unsettled.pop(key, None)
+        ended = JobEnded(key, verdict, reason, retry_after_ms)
+        self._answers[key] = (self._clock.now_ms(), ended)
+        for entry in opened.entries:
+            self.actions.append(TellEntry(entry, ended))
+        for task in opened.all_tasks():
+            if task.run and task.run.state is not RunState.DOUBTFUL:
+                self.fleet.stop(task.run)
+
+
+def _left_ms(run: Run, now_ms: float) -> float:
+    """Returns how long a run will likely go on."""
+    passed_ms = now_ms - run.since_ms
+    if is_overdue(run, now_ms):
+        return max(run.expected_ms, passed_ms)
+    return max(0.0, run.expected_ms - passed_ms)
--- /dev/null
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -0,0 +1,490 @@
+"""The workers that this node holds, and the runs on them.
+
+Every worker always has one hold under way, which renews its lease and waits
+for an end. What a worker lists settles what runs there; an order that got no
+answer counts as carried out until the worker tells otherwise.
+"""
+
+import abc
+import enum
+from clayfield.base import Clock
+from clayfield.pool.orders import (
+    EndedRow,
+    EndKind,
+    HoldAnswer,
+    HoldWorker,
+    OrderAnswer,
+    OrderResult,
+    PoolAction,
+    RunningRow,
+    StartRun,
+    StopRun,
+)
+from clayfield.pool.tasks import Run, RunState, Task, TaskId
+from clayfield.pool.worker import Worker
+from clayfield.wire.jobs import WorkerInfo
+
+HOLD_WAIT_MS = 400
+# Between holds that get no answer.
+RETRY_MS = 60.0
+# Between stops that get no answer.
+RESTOP_MS = 150.0
+# A worker that could not be reached for so long is forgotten.
+FORGET_MS = 20_000.0
+# How long the runs that an earlier holder began wait for their jobs.
+ORPHAN_MS = 800.0
+PAST_END_MS = 5000.0
+# How much longer than expected a run may take before it is asked after.
+OVERDUE_SHARE = 1.4
+OVERDUE_MS = 40.0
+PROBE_MS = 120.0
+# Added to a run's number where the worker has seen a later one.
+OLD_RUN_STEP = 1000
+FENCED_PAUSE_MS = 500.0
+CALLS_A_FENCE = 1_000_000
+
+
+class RunEnd(enum.Enum):
+    """How a run ended for its task: LOST says that it did not end well."""
+
+    DONE = "done"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class FleetTiming:
+    """The times that workers keep.
+
+    Attributes:
+        lease_ms: the longest lease that a worker takes.
+        stop_ms: how long a stop takes at most.
+    """
+
+    __slots__ = ("lease_ms", "stop_ms")
+
+    def __init__(self, lease_ms: float = 1000.0, stop_ms: float = 50.0):
+        self.lease_ms = lease_ms
+        self.stop_ms = stop_ms
+
+
+class FleetListener(abc.ABC):
+    """Who hears how runs end."""
+
+    @abc.abstractmethod
+    def on_run_end(self, run: Run, end: RunEnd, worker: Worker) -> None:
+        """Learns that a run has ended and its room is free."""
+
+    @abc.abstractmethod
+    def on_fenced(self, worker: Worker) -> None:
+        """Learns that a worker obeys a higher fence."""
+
+
+class Fleet:
+    """All workers that this node holds.
+
+    Attributes:
+        workers: by name.
+        actions: orders to send; the caller empties it.
+        foreign: runs that an earlier holder began, by task.
+        fence: goes with every order.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        timing: FleetTiming,
+        listener: FleetListener,
+        fence: int,
+    ):
+        self._clock = clock
+        self._timing = timing
+        self._listener = listener
+        self.fence = fence
+        self.workers: dict[str, Worker] = {}
+        self.actions: list[PoolAction] = []
+        self.foreign: dict[TaskId, Run] = {}
+        self._past_ends: dict[TaskId, tuple[float, EndKind]] = {}
+        self._probe_at_ms: dict[str, float] = {}
+        self._began_ms = clock.now_ms()
+
+    # Questions.
+
+    def is_adopted(self) -> bool:
+        """Tells whether every worker has obeyed this holder once."""
+        return all(one.is_adopted for one in self.workers.values())
+
+    def past_end(self, task_id: TaskId) -> EndKind | None:
+        """Returns how a run of an earlier holder ended, None if unknown."""
+        known = self._past_ends.get(task_id)
+        return known[1] if known else None
+
+    # Workers that come and go.
+
+    def on_worker(self, info: WorkerInfo) -> None:
+        """Takes a worker's statement."""
+        known = self.workers.get(info.name)
+        if known is None:
+            # Calls of an earlier part as holder must not be taken for this
+            # one's, so their numbers are kept apart.
+            first_call = self.fence * CALLS_A_FENCE
+            self.workers[info.name] = Worker(
+                info, self._clock.now_ms(), first_call
+            )
+        elif info.sequence >= known.info.sequence:
+            known.info = info
+
+    def on_worker_left(self, name: str) -> None:
+        """Learns that a worker's life is over."""
+        worker = self.workers.pop(name, None)
+        if worker is None:
+            return
+        worker.is_gone = True
+        self._probe_at_ms.pop(name, None)
+        for run in list(worker.runs.values()):
+            self._end(worker, run, RunEnd.LOST)
+
+    # Orders.
+
+    def start(self, worker: Worker, task: Task, expected_ms: float) -> None:
+        """Starts a task's next run at a worker that has room."""
+        now_ms = self._clock.now_ms()
+        task.last_run += 1
+        run = Run(
+            task.id, task.last_run, worker.name, task, RunState.STARTING, now_ms
+        )
+        run.expected_ms = expected_ms
+        task.run = run
+        worker.reserve(run)
+        lease_ms = self._timing.lease_ms
+        worker.on_lease_sent(now_ms, lease_ms)
+        self.actions.append(
+            StartRun(
+                worker.name,
+                worker.info.address,
+                task.id,
+                run.number,
+                task.job.job.spec,
+                worker.lease_until(now_ms, lease_ms),
+                self.fence,
+            )
+        )
+
+    def stop(self, run: Run) -> None:
+        """Stops a run."""
+        worker = self.workers.get(run.worker)
+        if worker is None:
+            return
+        if run.state is not RunState.DOUBTFUL:
+            run.state = RunState.STOPPING
+        self._order_stop(worker, run)
+
+    def _order_stop(self, worker: Worker, run: Run) -> None:
+        self.actions.append(
+            StopRun(
+                worker.name,
+                worker.info.address,
+                run.task_id,
+                run.number,
+                self.fence,
+            )
+        )
+
+    def _hold(self, worker: Worker, wait_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        lease_ms = self._timing.lease_ms
+        until_ms = worker.lease_until(now_ms, lease_ms)
+        if until_ms is not None:
+            worker.on_lease_sent(now_ms, lease_ms)
+        worker.hold_call += 1
+        self.actions.append(
+            HoldWorker(
+                worker.name,
+                worker.info.address,
+                worker.seen_upto,
+                wait_ms,
+                until_ms,
+                self.fence,
+                worker.hold_call,
+            )
+        )
+
+    # Answers.
+
+    def on_start_answer(
+        self, name: str, task_id: TaskId, number: int, answer: OrderAnswer
+    ) -> None:
+        """Takes a worker's answer to a start."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        self._note_answer(worker, answer.clock_ms)
+        run = worker.runs.get(task_id)
+        is_current = run is not None and run.number == number
+        if not is_current or run.state is not RunState.STARTING:
+            self._note_result(worker, answer.result)
+            return
+        match answer.result:
+            case OrderResult.DONE:
+                run.state = RunState.RUNNING
+                run.answered_ms = self._clock.now_ms()
+                return
+            case OrderResult.LOST:
+                run.state = RunState.DOUBTFUL
+                self._order_stop(worker, run)
+            case OrderResult.OLD_RUN:
+                run.task.last_run += OLD_RUN_STEP
+                self._end(worker, run, RunEnd.LOST)
+            case OrderResult.BAD_ORDER:
+                self._end(worker, run, RunEnd.FAILED)
+            case _:
+                self._end(worker, run, RunEnd.LOST)
+        self._note_result(worker, answer.result)
+
+    def _note_result(self, worker: Worker, result: OrderResult) -> None:
+        """Draws conclusions about the worker from how it took an order."""
+        match result:
+            case OrderResult.FENCED:
+                self._on_fenced(worker)
+            case OrderResult.GONE:
+                self.on_worker_left(worker.name)
+            case OrderResult.UNHEALTHY | OrderResult.NO_ROOM:
+                worker.set_aside(self._clock.now_ms())
+            case OrderResult.UNREACHED:
+                self._on_unreachable(worker)
+
+    def on_stop_answer(
+        self, name: str, task_id: TaskId, number: int, answer: OrderAnswer
+    ) -> None:
+        """Takes a worker's answer to a stop."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        self._note_answer(worker, answer.clock_ms)
+        run = worker.runs.get(task_id)
+        if run is not None and run.number == number:
+            self._on_stop_result(worker, run, answer.result)
+        self._note_result(worker, answer.result)
+
+    def _on_stop_result(
+        self, worker: Worker, run: Run, result: OrderResult
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if result in (OrderResult.DONE, OrderResult.OLD_RUN):
+            run.stopped_ms = now_ms
+            self._probe_at_ms[worker.name] = now_ms + self._timing.stop_ms + 5.0
+        elif result in (OrderResult.LOST, OrderResult.UNREACHED):
+            run.since_ms = now_ms
+
+    def on_hold_answer(
+        self, name: str, call: int, sent_ms: float, answer: HoldAnswer
+    ) -> None:
+        """Takes a worker's answer to a hold."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        now_ms = self._clock.now_ms()
+        if call == worker.open_hold:
+            worker.open_hold = 0
+        if answer.result is not OrderResult.DONE:
+            worker.next_hold_ms = now_ms + RETRY_MS
+            self._on_hold_failed(worker, answer.result)
+            return
+        self._note_answer(worker, answer.clock_ms)
+        worker.is_reachable = True
+        worker.next_hold_ms = now_ms
+        for row in answer.ended:
+            self._on_ended(worker, row)
+        self._on_running(worker, answer.running, sent_ms)
+        worker.is_adopted = True
+
+    def _on_hold_failed(self, worker: Worker, result: OrderResult) -> None:
+        if result is OrderResult.LOST:
+            self._on_unreachable(worker)
+        else:
+            self._note_result(worker, result)
+
+    def _note_answer(self, worker: Worker, clock_ms: float | None) -> None:
+        now_ms = self._clock.now_ms()
+        if clock_ms is not None:
+            worker.answered_ms = now_ms
+            worker.on_clock(clock_ms, now_ms)
+
+    def _on_unreachable(self, worker: Worker) -> None:
+        if worker.is_reachable:
+            worker.is_reachable = False
+            worker.unreachable_since_ms = self._clock.now_ms()
+
+    def _on_fenced(self, worker: Worker) -> None:
+        worker.is_adopted = False
+        worker.next_hold_ms = self._clock.now_ms() + FENCED_PAUSE_MS
+        self._listener.on_fenced(worker)
+
+    # What a worker lists.
+
+    def _on_ended(self, worker: Worker, row: EndedRow) -> None:
+        if row.sequence <= worker.seen_upto:
+            return
+        worker.seen_upto = row.sequence
+        run = worker.runs.get(row.task_id)
+        if run is None or run.number != row.number:
+            self._note_past_end(row)
+        elif row.kind is EndKind.DONE:
+            self._end(worker, run, RunEnd.DONE)
+        elif row.kind is EndKind.FAILED:
+            self._end(worker, run, RunEnd.FAILED)
+        else:
+            self._end(worker, run, RunEnd.LOST)
+
+    def _note_past_end(self, row: EndedRow) -> None:
+        if row.kind in (EndKind.DONE, EndKind.FAILED):
+            self._past_ends[row.task_id] = (self._clock.now_ms(), row.kind)
+
+    def _on_running(
+        self, worker: Worker, rows: list[RunningRow], sent_ms: float
+    ) -> None:
+        listed = {(row.task_id, row.number): row for row in rows}
+        for row in rows:
+            known = worker.runs.get(row.task_id)
+            if known is None:
+                self._adopt(worker, row)
+            elif known.number == row.number:
+                self._confirm(known)
+        for run in list(worker.runs.values()):
+            if (run.task_id, run.number) not in listed:
+                self._on_absent(worker, run, sent_ms)
+
+    def _confirm(self, run: Run) -> None:
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.answered_ms = self._clock.now_ms()
+
+    def _on_absent(self, worker: Worker, run: Run, sent_ms: float) -> None:
+        """Learns that a worker does not list a run, nor its end."""
+        match run.state:
+            case RunState.RUNNING:
+                if run.answered_ms is not None and run.answered_ms < sent_ms:
+                    self._end(worker, run, RunEnd.LOST)
+            case RunState.DOUBTFUL | RunState.STOPPING:
+                settled_ms = run.stopped_ms
+                if settled_ms is None:
+                    return
+                if settled_ms + self._timing.stop_ms <= sent_ms:
+                    self._end(worker, run, RunEnd.LOST)
+
+    def _adopt(self, worker: Worker, row: RunningRow) -> None:
+        """Reserves the whole free room for a run whose size is not known."""
+        run = Run(
+            row.task_id,
+            row.number,
+            worker.name,
+            None,
+            RunState.RUNNING,
+            self._clock.now_ms(),
+        )
+        run.answered_ms = run.since_ms
+        run.cpu = max(0, worker.free_cpu)
+        worker.reserve(run)
+        self.foreign[row.task_id] = run
+
+    def claim(self, task: Task, expected_ms: float) -> bool:
+        """Gives a run that an earlier holder began to its task.
+
+        Returns:
+            Whether there is one.
+        """
+        run = self.foreign.pop(task.id, None)
+        if run is None:
+            return False
+        worker = self.workers[run.worker]
+        worker.release(run)
+        run.task = task
+        run.expected_ms = expected_ms
+        run.cpu = task.step.cpu
+        run.memory_mb = task.step.memory_mb
+        run.gpu = task.step.gpu
+        worker.reserve(run)
+        task.run = run
+        task.last_run = max(task.last_run, run.number)
+        return True
+
+    def _end(self, worker: Worker, run: Run, end: RunEnd) -> None:
+        worker.release(run)
+        self.foreign.pop(run.task_id, None)
+        self._listener.on_run_end(run, end, worker)
+
+    # Time.
+
+    def tick(self) -> None:
+        """Lets time act: holds, stops again, lets leases lapse."""
+        now_ms = self._clock.now_ms()
+        for worker in list(self.workers.values()):
+            self._tick_worker(worker, now_ms)
+        self._stop_orphans(now_ms)
+        for task_id, (noted_ms, _) in list(self._past_ends.items()):
+            if now_ms - noted_ms > PAST_END_MS:
+                del self._past_ends[task_id]
+
+    def _tick_worker(self, worker: Worker, now_ms: float) -> None:
+        if not worker.is_reachable:
+            silent_ms = now_ms - worker.unreachable_since_ms
+            if silent_ms > FORGET_MS:
+                self.on_worker_left(worker.name)
+                return
+            if now_ms > worker.lease_ends_ms:
+                self._let_lapse(worker)
+        self._stop_again(worker, now_ms)
+        if self._is_probe_due(worker, now_ms):
+            self._probe_at_ms[worker.name] = now_ms + PROBE_MS
+            self._hold(worker, 0)
+        self.renew(worker)
+
+    def renew(self, worker: Worker) -> None:
+        """Holds a worker again, if no hold is under way."""
+        now_ms = self._clock.now_ms()
+        if worker.open_hold or now_ms < worker.next_hold_ms:
+            return
+        is_sound = worker.is_reachable and worker.is_adopted
+        self._hold(worker, HOLD_WAIT_MS if is_sound else 0)
+        worker.open_hold = worker.hold_call
+
+    def _is_probe_due(self, worker: Worker, now_ms: float) -> bool:
+        wanted_ms = self._probe_at_ms.get(worker.name)
+        if any(
+            run.state is RunState.DOUBTFUL or run.state is RunState.STOPPING
+            for run in worker.runs.values()
+        ):
+            return wanted_ms is not None and now_ms >= wanted_ms
+        if wanted_ms is not None and now_ms < wanted_ms:
+            return False
+        return worker.is_reachable and any(
+            is_overdue(run, now_ms) for run in worker.runs.values()
+        )
+
+    def _let_lapse(self, worker: Worker) -> None:
+        """Ends what a silent worker cannot be running any more."""
+        for run in list(worker.runs.values()):
+            if run.state is RunState.RUNNING or run.answered_ms is not None:
+                self._end(worker, run, RunEnd.LOST)
+
+    def _stop_again(self, worker: Worker, now_ms: float) -> None:
+        for run in worker.runs.values():
+            is_open = run.state in (RunState.DOUBTFUL, RunState.STOPPING)
+            if not is_open or run.stopped_ms is not None:
+                continue
+            if now_ms - run.since_ms > RESTOP_MS:
+                run.since_ms = now_ms
+                self._order_stop(worker, run)
+
+    def _stop_orphans(self, now_ms: float) -> None:
+        for run in list(self.foreign.values()):
+            is_waiting = run.state is RunState.RUNNING
+            if is_waiting and now_ms - run.since_ms > ORPHAN_MS:
+                self.stop(run)
+
+
+def is_overdue(run: Run, now_ms: float) -> bool:
+    """Tells whether a run takes longer than it should."""
+    if run.answered_ms is None or run.expected_ms <= 0:
+        return False
+    allowed_ms = run.expected_ms * OVERDUE_SHARE + OVERDUE_MS
+    return now_ms - run.answered_ms > allowed_ms
--- /dev/null
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -0,0 +1,204 @@
+"""Jobs in flight at the holder, their tasks and the runs of these."""
+
+import enum
+
+import msgspec
+
+from clayfield.wire.jobs import Job, Step
+
+
+class TaskId(msgspec.Struct, frozen=True, array_like=True):
+    """Names a task: its job, the number of its step and its own in it."""
+
+    job: str
+    step: int
+    index: int
+
+
+class RunState(enum.Enum):
+    """What the holder knows of one start of a task.
+
+    STARTING: the order is under way. RUNNING: the worker has said so.
+    DOUBTFUL: the order got no answer and may yet be carried out. STOPPING: it
+    was told to stop.
+    """
+
+    STARTING = "starting"
+    RUNNING = "running"
+    DOUBTFUL = "doubtful"
+    STOPPING = "stopping"
+
+
+class TaskState(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+class Task:
+    """One task of a job.
+
+    Attributes:
+        id: its name.
+        job: what it belongs to.
+        step: what it asks for.
+        state: where it stands.
+        failures: runs that ended by its own or the worker's fault.
+        last_run: the number of its latest run.
+        run: the run that it is placed in, None otherwise.
+        avoided: workers on which a run of it has failed.
+    """
+
+    __slots__ = (
+        "avoided",
+        "failures",
+        "id",
+        "job",
+        "last_run",
+        "run",
+        "state",
+        "step",
+    )
+
+    def __init__(self, job: "OpenJob", number: int, index: int, step: Step):
+        self.id = TaskId(job.job.key, number, index)
+        self.job = job
+        self.step = step
+        self.state = TaskState.WAITING
+        self.failures = 0
+        self.last_run = job.first_run - 1
+        self.run: Run | None = None
+        self.avoided: set[str] = set()
+
+
+class Run:
+    """One start of a task at a worker.
+
+    Attributes:
+        task_id: the task.
+        number: rises with each start of the task.
+        worker: the name of the worker.
+        task: None for a run that an earlier holder began.
+        state: what is known of it.
+        cpu: reserved for it, in thousandths of a core.
+        memory_mb: reserved for it.
+        gpu: reserved for it.
+        since_ms: when it was ordered.
+        answered_ms: when its start was confirmed.
+        expected_ms: how long it should take.
+        stopped_ms: when the worker confirmed its stop, None before.
+    """
+
+    __slots__ = (
+        "answered_ms",
+        "cpu",
+        "expected_ms",
+        "gpu",
+        "memory_mb",
+        "number",
+        "since_ms",
+        "state",
+        "stopped_ms",
+        "task",
+        "task_id",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        task_id: TaskId,
+        number: int,
+        worker: str,
+        task: Task | None,
+        state: RunState,
+        since_ms: float,
+    ):
+        self.task_id = task_id
+        self.number = number
+        self.worker = worker
+        self.task = task
+        self.state = state
+        self.since_ms = since_ms
+        self.answered_ms: float | None = None
+        self.stopped_ms: float | None = None
+        self.expected_ms = 0.0
+        self.cpu = task.step.cpu if task else 0
+        self.memory_mb = task.step.memory_mb if task else 0
+        self.gpu = task.step.gpu if task else 0
+
+    @property
+    def is_foreign(self) -> bool:
+        """Whether an earlier holder began it and its job is not known."""
+        return self.task is None
+
+
+class OpenJob:
+    """A job that has not ended.
+
+    Attributes:
+        job: what was asked for.
+        entries: the entries that wait for its end.
+        arrived_ms: when it arrived at its first entry.
+        first_run: the number of each task's first run.
+        tasks: its tasks by step.
+        is_offered: whether any task of it was given to a worker.
+        is_placeable: whether its tasks may be started yet.
+    """
+
+    __slots__ = (
+        "arrived_ms",
+        "entries",
+        "first_run",
+        "is_ended",
+        "is_offered",
+        "is_placeable",
+        "job",
+        "tasks",
+    )
+
+    def __init__(
+        self, job: Job, entry: str, arrived_ms: float, first_run: int
+    ):
+        self.job = job
+        self.entries = {entry}
+        self.arrived_ms = arrived_ms
+        self.first_run = first_run
+        self.is_offered = False
+        self.is_placeable = True
+        self.is_ended = False
+        self.tasks = [
+            [Task(self, number, index, step) for index in range(step.count)]
+            for number, step in enumerate(job.steps)
+        ]
+
+    @property
+    def timeout_at_ms(self) -> float:
+        """When its caller stops waiting."""
+        return self.arrived_ms + self.job.timeout_ms
+
+    def all_tasks(self) -> list[Task]:
+        """Returns its tasks."""
+        return [task for step in self.tasks for task in step]
+
+    def is_step_done(self, number: int) -> bool:
+        """Tells whether all tasks of a step have ended."""
+        return all(t.state is TaskState.DONE for t in self.tasks[number])
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all its tasks have ended."""
+        return all(self.is_step_done(n) for n in range(len(self.tasks)))
+
+    def waiting_tasks(self) -> list[Task]:
+        """Returns the tasks whose turn has come and that are not placed."""
+        ready: list[Task] = []
+        for number, step in enumerate(self.job.steps):
+            if all(self.is_step_done(before) for before in step.after):
+                ready += [
+                    task
+                    for task in self.tasks[number]
+                    if task.state is TaskState.WAITING
+                ]
+        return ready
--- /dev/null
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -0,0 +1,169 @@
+"""Jobs of steps, workers and routes, as nodes tell them to one another."""
+
+import enum
+
+import msgspec
+
+
+class Step(msgspec.Struct, frozen=True, array_like=True):
+    """Tasks of one kind within a job.
+
+    Attributes:
+        count: how many tasks.
+        cpu: thousandths of a core for each.
+        memory_mb: memory for each.
+        gpu: accelerators for each.
+        estimate_ms: the caller's rough guess of a task's time.
+        after: numbers of earlier steps that must have ended.
+        requires: a label that the worker must carry, or "".
+        rack: the rack that holds the data, or "".
+        max_per_worker: most tasks of this step on one worker, 0 for any.
+        speculative: whether copies may run beside one another.
+    """
+
+    count: int
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: tuple[int, ...] = ()
+    requires: str = ""
+    rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+
+
+class Job(msgspec.Struct, frozen=True, array_like=True):
+    """A job that is answered once it has ended, and not kept.
+
+    Attributes:
+        key: names the job within its queue.
+        queue: the name of its route.
+        service: whose workers run it.
+        spec: what the workers are to do.
+        steps: its steps.
+        priority: 0 goes first.
+        max_attempts: failed runs of a task after which the job has failed.
+        stretch: the objective as a multiple of the longest chain of work.
+        target_ms: added to it.
+        timeout_ms: when its caller stops waiting, from its arrival.
+    """
+
+    key: str
+    queue: str
+    service: str
+    spec: str
+    steps: tuple[Step, ...]
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_ms: float
+    timeout_ms: float
+
+
+class Verdict(enum.IntEnum):
+    """How a job ended.
+
+    REFUSED says that nothing of it ran or will run; ABANDONED that something
+    of it may have run.
+    """
+
+    COMPLETED = 0
+    FAILED = 1
+    REFUSED = 2
+    ABANDONED = 3
+    CANCELLED = 4
+
+
+class Reason(enum.StrEnum):
+    """Why a job was refused or abandoned."""
+
+    NONE = ""
+    TOO_LATE = "objective-out-of-reach"
+    TIMED_OUT = "timed-out"
+    NO_HOLDER = "no-holder"
+    NO_WORKER = "no-worker-fits"
+    NOT_BUILT = "not-supported"
+    STOPPING = "stopping"
+    HOLDER_LOST = "holder-lost"
+    ATTEMPTS = "attempts-used-up"
+    CANCELLED = "cancelled"
+
+
+class WorkerState(enum.StrEnum):
+    """What a worker says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class WorkerInfo(msgspec.Struct, frozen=True, array_like=True):
+    """A worker's statement about itself.
+
+    Attributes:
+        name: names one life of the worker.
+        service: what it runs.
+        address: IP:PORT.
+        hall: where it stands.
+        state: whether it takes new tasks.
+        sequence: rises with each statement of one life.
+        cpu: thousandths of a core.
+        memory_mb: memory.
+        gpu: accelerators.
+        labels: its kind and its rack.
+    """
+
+    name: str
+    service: str
+    address: str
+    hall: str
+    state: WorkerState
+    sequence: int
+    cpu: int
+    memory_mb: int
+    gpu: int
+    labels: tuple[str, ...] = ()
+
+
+class Route(msgspec.Struct, frozen=True, array_like=True):
+    """A queue: which requests belong to it and how they are served."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: float
+    target_ms: float
+    priority: int
+    max_attempts: int
+    stretch: float
+
+
+class Service(msgspec.Struct, frozen=True, array_like=True):
+    """A kind of worker."""
+
+    name: str
+    max_connections: int
+    enforces_capacity: bool
+
+
+class Limits(msgspec.Struct, frozen=True, array_like=True):
+    """Bounds of one request."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_ms: float = 3000.0
+    idle_ms: float = 15000.0
+
+
+class RoutingTable(msgspec.Struct, frozen=True, array_like=True):
+    """A whole configuration of routes and services.
+
+    Attributes:
+        version: the highest wins.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits
