--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -247,9 +247,7 @@
     def _lead(self) -> None:
         live = {box_of(peer): peer for peer in self._peers}
         live[box_of(self.node)] = self.node
-        members = self._voters.step(
-            self.consensus, live, self._clock.now_ms()
-        )
+        members = self._voters.step(self.consensus, live, self._clock.now_ms())
         if members:
             self.consensus.change_members(members)
         wanted = self._holders.propose(self.state.grant)
@@ -290,9 +288,7 @@
         for request, write in list(self._writes.items()):
             if self.state.version >= write.version:
                 del self._writes[request]
-                self._settle(
-                    request, WriteOutcome.IN_FORCE, self.state.version
-                )
+                self._settle(request, WriteOutcome.IN_FORCE, self.state.version)
             elif now_ms - write.since_ms > WRITE_MS:
                 del self._writes[request]
                 self._settle(request, WriteOutcome.UNKNOWN, 0)
--- a/packages/cluster/src/clayfield/cluster/voters.py
+++ b/packages/cluster/src/clayfield/cluster/voters.py
@@ -92,9 +92,7 @@
             else:
                 self._silent_since.setdefault(voter, now_ms)
 
-    def _is_gone(
-        self, voter: str, live: dict[str, str], now_ms: float
-    ) -> bool:
+    def _is_gone(self, voter: str, live: dict[str, str], now_ms: float) -> bool:
         heard = live.get(box_of(voter))
         if heard is not None and heard != voter:
             return True
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -254,9 +254,7 @@
         self._to_store = []
         records = [record for one in batch for record in one.records]
         writing = threads.deferToThread(self._store.write, records)
-        writing.addCallbacks(
-            self._on_stored, self._on_store_failed, (batch,)
-        )
+        writing.addCallbacks(self._on_stored, self._on_store_failed, (batch,))
 
     def _on_stored(self, _: None, batch: list[Persist]) -> None:
         self._is_storing = False
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -18,7 +18,7 @@
     WorkerProtocol,
 )
 from clayfield.node.httpserver import HttpBounds, HttpRequest, HttpServer
-from clayfield.node.process import MS_PER_S, NodeProcess
+from clayfield.node.process import NodeProcess
 from clayfield.node.settings import NodeSettings, place_text
 from clayfield.node.streams import StreamListener, Streams
 from clayfield.node.workers import WorkerOrders
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -95,9 +95,7 @@
     ) -> None:
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = ConnectionPool(
-                self._reactor, address
-            )
+            pool = self._pools[address] = ConnectionPool(self._reactor, address)
         self._used_s[address] = self._reactor.seconds()
         pool.call(request, timeout_s).addCallback(on_answer)
 
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -230,7 +230,9 @@
 
     def _usual_cpu(self) -> float:
         sizes = [
-            step.cpu for opened in self._jobs.values() for step in opened.job.steps
+            step.cpu
+            for opened in self._jobs.values()
+            for step in opened.job.steps
         ]
         return max(1.0, sum(sizes) / len(sizes)) if sizes else 1.0
 
@@ -326,9 +328,7 @@
     def _place_job(self, opened: OpenJob, now_ms: float) -> None:
         is_all_placed = True
         for task in opened.waiting_tasks():
-            worker = choose_worker(
-                task, self.fleet.workers.values(), now_ms
-            )
+            worker = choose_worker(task, self.fleet.workers.values(), now_ms)
             if worker is None:
                 is_all_placed = False
                 continue
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -139,9 +139,7 @@
         is_stopping: whether it is to hold nothing any more.
     """
 
-    def __init__(
-        self, node: str, hall: str, clock: Clock, timing: FleetTiming
-    ):
+    def __init__(self, node: str, hall: str, clock: Clock, timing: FleetTiming):
         self.node = node
         self.hall = hall
         self.routes = Routes()
@@ -267,9 +265,7 @@
             case JobCancelled(request=request, is_known=is_known):
                 cancel = self._cancels.pop(request, None)
                 if cancel:
-                    self._actions.append(
-                        AnswerCancel(cancel.waiter, is_known)
-                    )
+                    self._actions.append(AnswerCancel(cancel.waiter, is_known))
 
     def on_config(self, table: RoutingTable) -> bool:
         """Puts a configuration in force unless a version as high is."""
@@ -434,9 +430,7 @@
         elif not pending.was_sent and age_ms > _patience_ms(job):
             self._end(pending, Verdict.REFUSED, Reason.NO_HOLDER)
 
-    def _end(
-        self, pending: _Pending, verdict: Verdict, reason: Reason
-    ) -> None:
+    def _end(self, pending: _Pending, verdict: Verdict, reason: Reason) -> None:
         ended = JobEnded(pending.job.key, verdict, reason, NO_HOLDER_RETRY_MS)
         self._on_job_ended(ended)
 
@@ -465,9 +459,7 @@
     ) -> None:
         """Takes a worker's answer to a start."""
         if self.dispatcher:
-            self.dispatcher.fleet.on_start_answer(
-                name, task_id, number, answer
-            )
+            self.dispatcher.fleet.on_start_answer(name, task_id, number, answer)
 
     def on_stop_answer(
         self, name: str, task_id: TaskId, number: int, answer: OrderAnswer
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -7,6 +7,7 @@
 
 import abc
 import enum
+
 from clayfield.base import Clock
 from clayfield.pool.orders import (
     EndedRow,
--- a/packages/pool/src/clayfield/pool/orders.py
+++ b/packages/pool/src/clayfield/pool/orders.py
@@ -149,7 +149,12 @@
     __slots__ = ("address", "fence", "number", "task_id", "worker")
 
     def __init__(
-        self, worker: str, address: str, task_id: TaskId, number: int, fence: int
+        self,
+        worker: str,
+        address: str,
+        task_id: TaskId,
+        number: int,
+        fence: int,
     ):
         self.worker = worker
         self.address = address
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -158,9 +158,7 @@
         "tasks",
     )
 
-    def __init__(
-        self, job: Job, entry: str, arrived_ms: float, first_run: int
-    ):
+    def __init__(self, job: Job, entry: str, arrived_ms: float, first_run: int):
         self.job = job
         self.entries = {entry}
         self.arrived_ms = arrived_ms
--- a/packages/testbed/src/clayfield/testbed/processes.py
+++ b/packages/testbed/src/clayfield/testbed/processes.py
@@ -13,11 +13,21 @@
 STOP_TIMEOUT_S = 30.0
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a port of loopback that was free just now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port of loopback that was free just now, never one twice.
+
+    The system may offer a port again before whoever got it first listens.
+    """
+    while True:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 def fetch(url: str, timeout_s: float = 5.0) -> bytes:
