Keep a task from running twice when a hall that was cut off rejoins

Also found by the new test: the second of two ends at one moment waited for the next tick (up to 20 ms), since holds were renewed by ticks only. Change: a hall keeps to its stand-by until the next grant, which it asks for once it hears others again; a job that another holder may have begun is placed only after every worker obeyed a hold sent after the job came; holds are renewed at once.

--- a/packages/cluster/src/clayfield/cluster/holders.py
+++ b/packages/cluster/src/clayfield/cluster/holders.py
@@ -108,10 +108,16 @@
             return self._choose(grant.holder)
         if present.status.epoch < grant.epoch:
             return ""
-        if present.status.fence_lost or self._needs_standbys(grant, now_ms):
+        if self._is_epoch_wanted(grant) or self._needs_standbys(grant, now_ms):
             return grant.holder
         return ""
 
+    def _is_epoch_wanted(self, grant: Grant) -> bool:
+        return any(
+            entry.status.needs_epoch and entry.status.epoch == grant.epoch
+            for entry in self._entries.values()
+        )
+
     def _is_lost(self, grant: Grant, now_ms: float) -> bool:
         if not grant.holder:
             return self._has_choice(now_ms)
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -30,7 +30,7 @@
 # Nobody pays for a job that ends later than this many times its objective.
 WORTHLESS_SHARE = 3.0
 # How long the jobs of an earlier holder wait for the workers to be adopted.
-ADOPTION_MS = 300.0
+ADOPTION_MS = 1200.0
 # Answers that are kept for callers that ask again.
 KEPT_ANSWERS_MS = 20_000.0
 LEAST_RETRY_MS = 50.0
@@ -56,6 +56,7 @@
         self._answers: dict[str, tuple[float, JobEnded]] = {}
         self._estimates = Estimates()
         self._is_changed = True
+        self._must_ask = False
 
     @property
     def open_jobs(self) -> int:
@@ -86,6 +87,7 @@
         self._jobs[key] = opened
         if submit.was_sent:
             self._unsettled[key] = (self._clock.now_ms(), opened)
+            self._must_ask = True
             opened.is_placeable = False
         elif not self._is_admitted(opened):
             return
@@ -180,9 +182,11 @@
         """Finds what became of jobs that an earlier holder began."""
         if not self._unsettled:
             return
-        is_adopted = self.fleet.is_adopted()
+        if self._must_ask:
+            self._must_ask = False
+            self.fleet.ask_all()
         for since_ms, opened in list(self._unsettled.values()):
-            if is_adopted:
+            if self.fleet.is_adopted_since(since_ms):
                 del self._unsettled[opened.job.key]
                 self._claim_runs(opened)
             elif now_ms - since_ms >= ADOPTION_MS:
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -149,6 +149,7 @@
         self._clock = clock
         self._timing = timing
         self._is_standby = False
+        self._uses_standby = False
         self._open_nodes: dict[str, NodeGreeting] = {}
         self._workers: dict[str, WorkerInfo] = {}
         self._pending: dict[str, _Pending] = {}
@@ -164,7 +165,7 @@
     @property
     def holder(self) -> str:
         """The node to hand jobs to, "" where none is known."""
-        if self._is_isolated():
+        if self._uses_standby:
             return self.grant.standbys.get(self.hall, "")
         return self.grant.holder
 
@@ -307,8 +308,10 @@
     def _on_grant(self, grant: Grant) -> None:
         if grant.epoch <= self.grant.epoch:
             return
-        is_same = grant.holder == self.grant.holder
+        self._note_outside()
+        is_same = grant.holder == self.grant.holder and not self._uses_standby
         self.grant = grant
+        self._uses_standby = self._is_isolated()
         self._actions.append(Dial(grant.holder))
         standby = grant.standbys.get(self.hall)
         if standby:
@@ -348,7 +351,23 @@
 
     def _should_stand_in(self) -> bool:
         is_named = self.grant.standbys.get(self.hall) == self.node
-        return is_named and not self.is_stopping and self._is_isolated()
+        return is_named and not self.is_stopping and self._uses_standby
+
+    @property
+    def _needs_epoch(self) -> bool:
+        """Whether the holder should get a higher fence.
+
+        The stand-by of a hall that was cut off keeps the hall's workers until
+        the next grant, so that its jobs end where they run.
+        """
+        if self._uses_standby:
+            return not self._is_isolated()
+        is_holder = self.grant.holder == self.node
+        return (
+            is_holder
+            and self.dispatcher is not None
+            and self.dispatcher.is_fenced
+        )
 
     def _note_outside(self) -> None:
         """Notes that a node that is not cut off with this hall is heard."""
@@ -404,6 +423,8 @@
         """Lets time act."""
         now_ms = self._clock.now_ms()
         self._note_outside()
+        if self.grant.epoch and self._is_isolated():
+            self._uses_standby = True
         self._choose_part()
         if self.dispatcher:
             self.dispatcher.tick()
@@ -439,9 +460,7 @@
             self.routes.version,
             self.grant.epoch,
             self.is_stopping,
-            self.dispatcher is not None
-            and self.dispatcher.is_fenced
-            and self.grant.holder == self.node,
+            self._needs_epoch,
         )
         for greeting in self._open_nodes.values():
             if greeting.role == CONTROL_ROLE:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -110,9 +110,21 @@
 
     # Questions.
 
-    def is_adopted(self) -> bool:
-        """Tells whether every worker has obeyed this holder once."""
-        return all(one.is_adopted for one in self.workers.values())
+    def is_adopted_since(self, since_ms: float) -> bool:
+        """Tells whether every worker obeys an order sent after a time.
+
+        What runs there is then known, and no other holder can start more.
+        """
+        return all(
+            one.is_adopted and one.obeyed_ms > since_ms
+            for one in self.workers.values()
+        )
+
+    def ask_all(self) -> None:
+        """Asks every worker now what runs there."""
+        for worker in self.workers.values():
+            if worker.is_reachable:
+                self._hold(worker, 0)
 
     def past_end(self, task_id: TaskId) -> EndKind | None:
         """Returns how a run of an earlier holder ended, None if unknown."""
@@ -297,6 +309,8 @@
             self._on_ended(worker, row)
         self._on_running(worker, answer.running, sent_ms)
         worker.is_adopted = True
+        worker.obeyed_ms = max(worker.obeyed_ms, sent_ms)
+        self.renew(worker)
 
     def _on_hold_failed(self, worker: Worker, result: OrderResult) -> None:
         if result is OrderResult.LOST:
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -33,6 +33,7 @@
         lease_ends_ms: when, on the holder's clock, all that it was told to
             run has surely lapsed.
         answered_ms: when it last answered anything.
+        obeyed_ms: when the latest hold was sent that it obeyed.
         speed: how fast it works against what was expected.
     """
 
@@ -52,6 +53,7 @@
         "is_reachable",
         "lease_ends_ms",
         "next_hold_ms",
+        "obeyed_ms",
         "open_hold",
         "runs",
         "seen_upto",
@@ -72,6 +74,7 @@
         self.next_hold_ms = now_ms
         self.lease_ends_ms = now_ms
         self.answered_ms = now_ms
+        self.obeyed_ms = -1.0
         self.speed = 1.0
         self._clock_offset_ms: float | None = None
         self._free_cpu = info.cpu
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -73,13 +73,14 @@
         config_version: of the configuration that it has in force.
         epoch: of the latest grant that it knows.
         is_stopping: whether it should hold nothing any more.
-        fence_lost: whether workers refuse it for a higher fence than its own.
+        needs_epoch: whether the holder should get a higher fence: workers obey
+            a stand-by's, and the hall of that is not cut off any more.
     """
 
     config_version: int
     epoch: int
     is_stopping: bool
-    fence_lost: bool = False
+    needs_epoch: bool = False
 
 
 class ControlStatus(Message, frozen=True, tag=True):
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,133 @@
+"""The pool on a manual clock: what runs where, and what never runs twice."""
+
+import pytest
+
+from clayfield.testbed.poolsite import PoolSite
+from clayfield.wire.jobs import Verdict
+
+HALLS = ("a", "b", "c")
+HOLDER = "a-0/1"
+STANDBYS = {"b": "b-0/1", "c": "c-0/1"}
+
+
+def _site(seed=1, workers=2):
+    site = PoolSite(HALLS, workers, seed)
+    site.grant(HOLDER, STANDBYS)
+    site.run(200)
+    return site
+
+
+def _verdicts(site):
+    return {key: ended.verdict for key, (_, ended) in site.ended.items()}
+
+
+@pytest.mark.parametrize("node", ["a-0/1", "a-1/1", "c-1/1"])
+def test_a_job_is_answered_whichever_entry_takes_it(node):
+    site = _site()
+    site.submit(node, "job", count=4)
+    site.run(100)
+    at_ms, ended = site.ended["job"]
+    assert ended.verdict is Verdict.COMPLETED
+    assert at_ms <= 200 + 60 + 10
+    assert len(site.ran) == 4
+
+
+def test_a_job_that_cannot_make_its_objective_is_refused_at_once():
+    site = _site(workers=1)
+    for number in range(3):
+        site.submit("a-0/1", f"job-{number}", count=6)
+    site.run(5)
+    refused = site.ended["job-2"][1]
+    assert refused.verdict is Verdict.REFUSED
+    assert refused.retry_after_ms > 0
+    site.run(300)
+    assert not [ran for ran in site.ran if ran.task_id.job == "job-2"]
+
+
+def test_the_same_job_at_two_entries_runs_once():
+    site = _site()
+    site.submit("a-1/1", "job")
+    site.submit("b-1/1", "job")
+    site.run(200)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+    assert len(site.ran) == 2
+
+
+def test_a_failed_task_is_tried_again_on_another_worker():
+    site = _site()
+    site.workers["worker-a-0"].is_failing = True
+    site.submit("a-0/1", "job", count=6)
+    site.run(400)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_orders_carried_out_late_never_run_a_task_twice(seed):
+    site = _site(seed)
+    for worker in site.workers.values():
+        worker.late_share = 0.3
+    for number in range(30):
+        node = f"{HALLS[number % 3]}-1/1"
+        site.submit(node, f"job-{number}", count=2)
+        site.run(120)
+    site.run(5000)
+    assert site.runs_together() == []
+    assert len(site.ended) == 30
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_killed_holder_is_followed_without_a_task_run_twice(seed):
+    site = _site(seed)
+    for number in range(20):
+        site.submit(f"{HALLS[number % 3]}-1/1", f"job-{number}", count=3)
+        site.run(20)
+        if number == 10:
+            site.run(seed)
+            site.kill(HOLDER)
+            site.run(30)
+            site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(6000)
+    assert site.runs_together() == []
+    assert len(site.ended) == 20
+    late = [f"job-{number}" for number in range(13, 20)]
+    assert all(_verdicts(site)[key] is Verdict.COMPLETED for key in late)
+
+
+def _serve_through_a_cut(site, hall, cut_ms, heal_order):
+    keys = []
+
+    def serve(duration_ms):
+        for _ in range(int(duration_ms // 25)):
+            key = f"job-{len(keys)}"
+            keys.append(key)
+            site.submit(f"{hall}-1/1", key, count=2)
+            site.run(25)
+
+    serve(200)
+    site.cut_off(hall)
+    serve(cut_ms)
+    site.heal(hall)
+    serve(heal_order)
+    site.grant(HOLDER, STANDBYS)
+    serve(600)
+    site.run(6000)
+    return keys
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("hall", ["b", "c"])
+def test_a_hall_that_was_cut_off_rejoins_without_a_task_run_twice(hall, seed):
+    site = _site(seed)
+    keys = _serve_through_a_cut(site, hall, 1500, 10 + 20 * seed)
+    assert site.runs_together() == []
+    assert set(site.ended) == set(keys)
+
+
+def test_a_hall_that_is_cut_off_is_served_by_its_standby():
+    site = _site()
+    site.cut_off("b")
+    site.run(600)
+    site.submit("b-1/1", "job", count=2)
+    site.run(200)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+    assert {ran.worker for ran in site.ran} <= {"worker-b-0", "worker-b-1"}
