--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,183 @@
+"""Control nodes on a manual clock: configuration, voters and grants."""
+
+import pytest
+
+from clayfield.cluster import WriteOutcome
+from clayfield.state.membership import box_of
+from clayfield.testbed.controlsite import ControlSite
+from clayfield.wire.cluster import EntryStatus
+from clayfield.wire.jobs import WorkerInfo, WorkerState
+
+SETTLE_MS = 2500
+ENTRIES = {"e1/1": "x", "e2/1": "x", "e3/1": "y", "e4/1": "z"}
+
+
+def _site(seed=1, entries=()):
+    site = ControlSite(3, seed)
+    for entry in entries:
+        site.add_entry(entry, ENTRIES[entry])
+    site.run(SETTLE_MS)
+    assert site.leader()
+    return site
+
+
+def _write(site, request, version):
+    assert site.write(request, version)
+    site.run(300)
+    return site.settled.get(request)
+
+
+def test_the_highest_version_wins_and_older_ones_are_acknowledged():
+    site = _site()
+    assert _write(site, 1, 5) is WriteOutcome.IN_FORCE
+    assert _write(site, 2, 3) is WriteOutcome.IN_FORCE
+    assert _write(site, 3, 5) is WriteOutcome.IN_FORCE
+    for node in site.nodes.values():
+        assert (node.state.version, node.state.document) == (5, b"document-5")
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_what_was_acknowledged_survives_any_one_lost_disk(seed):
+    site = _site(seed)
+    _write(site, 1, 7)
+    address = site.first[seed % 3]
+    site.kill(address)
+    site.wipe(address)
+    site.run(100 * seed)
+    site.start(address)
+    site.run(SETTLE_MS)
+    assert site.leader().state.version == 7
+    assert len(site.leader().consensus.members.voters) == 3
+    assert _write(site, 2, 8) is WriteOutcome.IN_FORCE
+    second = site.first[(seed + 1) % 3]
+    site.kill(second)
+    site.wipe(second)
+    site.start(second)
+    site.run(SETTLE_MS)
+    assert site.leader().state.version == 8
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_all_processes_killed_at_once_come_back_with_what_was_acknowledged(
+    seed,
+):
+    site = _site(seed)
+    _write(site, 1, 4)
+    for address in site.first:
+        site.kill(address)
+    site.run(1000)
+    for address in site.first:
+        site.start(address)
+    site.run(SETTLE_MS)
+    assert site.leader().state.version == 4
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_node_that_is_cut_off_is_not_sure_and_takes_nothing(seed):
+    site = _site(seed)
+    old = site.leader()
+    site.cut_off(box_of(old.node))
+    site.run(SETTLE_MS)
+    assert not old.is_sure
+    assert not old.write(9, 9, b"document-9")
+    assert site.leader() is not old
+    assert _write(site, 1, 3) is WriteOutcome.IN_FORCE
+    site.heal(box_of(old.node))
+    site.run(SETTLE_MS)
+    assert old.state.version == 3
+
+
+def test_a_replaced_machine_gets_the_vote_of_the_one_that_is_gone():
+    site = _site()
+    _write(site, 1, 2)
+    gone = site.first[0]
+    site.kill(gone)
+    site.start("10.0.9.1:7000")
+    site.run(4000)
+    voters = {box_of(v) for v in site.leader().consensus.members.voters}
+    assert voters == {*site.first[1:], "10.0.9.1:7000"}
+    site.kill(site.first[1])
+    site.run(SETTLE_MS)
+    assert site.leader().state.version == 2
+
+
+def test_a_silent_voter_keeps_its_vote_while_nobody_can_take_it():
+    site = _site()
+    site.kill(site.first[2])
+    site.run(20_000)
+    assert len(site.leader().consensus.members.voters) == 3
+
+
+def test_the_log_is_cut_short_by_snapshots():
+    site = _site()
+    for version in range(1, 400):
+        assert site.write(version, version)
+        site.run(5)
+    site.run(300)
+    assert all(len(n.consensus._log) <= 64 for n in site.nodes.values())
+    lone = site.first[0]
+    site.kill(lone)
+    site.wipe(lone)
+    site.start(lone)
+    site.run(SETTLE_MS)
+    assert site.nodes[lone].state.version == 399
+
+
+def test_one_entry_is_granted_the_workers_and_keeps_them():
+    site = _site(entries=tuple(ENTRIES))
+    site.run(10_000)
+    assert list(site.grants) == [1]
+    grant = site.grants[1]
+    assert grant.holder in ("e1/1", "e2/1")
+    assert set(grant.standbys) == {"y", "z"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_lost_holder_is_followed_within_half_a_second(seed):
+    site = _site(seed, tuple(ENTRIES))
+    site.run(3000)
+    holder = site.grants[1].holder
+    site.remove_entry(holder)
+    site.run(500)
+    assert max(site.grants) == 2
+    assert site.grants[2].holder != holder
+
+
+def test_a_holder_that_stops_is_followed_by_another():
+    site = _site(entries=tuple(ENTRIES))
+    holder = site.grants[1].holder
+    site.tell_status(holder, EntryStatus(0, 1, True))
+    site.run(200)
+    assert site.grants[2].holder != holder
+
+
+def test_a_wanted_epoch_goes_to_the_same_holder():
+    site = _site(entries=tuple(ENTRIES))
+    site.tell_status("e4/1", EntryStatus(0, 1, False, True))
+    site.run(200)
+    assert list(site.grants) == [1, 2]
+    assert site.grants[2].holder == site.grants[1].holder
+
+
+def test_a_new_leader_leaves_a_living_holder_alone():
+    site = _site(entries=tuple(ENTRIES))
+    site.kill(box_of(site.leader().node))
+    site.run(6000)
+    assert site.leader()
+    assert list(site.grants) == [1]
+
+
+def test_late_statements_of_a_worker_change_nothing():
+    site = _site(entries=("e1/1",))
+    node = site.leader()
+    draining = _info(WorkerState.DRAINING, 5)
+    node.on_worker(draining)
+    node.on_worker(_info(WorkerState.READY, 4))
+    assert node.workers.all() == (draining,)
+    node.on_worker_left("w1")
+    node.on_worker(_info(WorkerState.READY, 6))
+    assert node.workers.all() == ()
+
+
+def _info(state, sequence):
+    return WorkerInfo("w1", "s", "a:1", "x", state, sequence, 1, 1, 0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,360 @@
+"""The platform's formats, as its pages show them."""
+
+import json
+import pathlib
+import re
+
+import pytest
+import yaml
+from clayfield_platform.boot import read_boot, to_settings
+from clayfield_platform.callers import PlatformCallers
+from clayfield_platform.operators import PlatformOperators
+from clayfield_platform.workers import PlatformWorkers, read_task
+
+from clayfield.base import ClayfieldError
+from clayfield.node.faces import (
+    CancelCall,
+    CountCall,
+    HttpReply,
+    LeaveCall,
+    ReadCall,
+    StateCall,
+    StatementCall,
+    SubmitCall,
+    WriteCall,
+)
+from clayfield.node.httpclient import CallAnswer, CallEnd
+from clayfield.node.httpserver import HttpRequest
+from clayfield.pool import (
+    EndKind,
+    HoldWorker,
+    OrderResult,
+    Routes,
+    StartRun,
+    StopRun,
+    TaskId,
+)
+from clayfield.wire.cluster import JobEnded
+from clayfield.wire.jobs import Reason, Verdict, WorkerState
+
+ROOT = pathlib.Path(__file__).parent.parent
+KEY = "5c0e7a21d94b36f8"
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "path_prefix": "/q/",
+            "kind": "unsafe",
+            "timeout_ms": 1500,
+            "target_latency_ms": 60,
+            "priority": 1,
+            "service": "s",
+            "max_attempts": 4,
+            "stretch": 1.6,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "path_prefix": "/q/long/",
+            "timeout_ms": 1500,
+            "service": "s",
+        },
+    ],
+    "services": [{"name": "s", "max_conns": 64, "enforces_capacity": True}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
+}
+JOB = {
+    "spec": "text",
+    "steps": [{"count": 4, "cpu": 500, "mem_mb": 256, "estimate_ms": 900}],
+    "best_effort": True,
+}
+
+
+def _request(method, path, body=b"", host="a.example", **headers):
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    fields = {"host": host, **headers}
+    return HttpRequest(None, method, path, fields, raw)
+
+
+def _routes(config=CONFIG):
+    document = json.dumps(config).encode()
+    return Routes(PlatformOperators().read_table(document))
+
+
+def _call(method, path, body=b"", **headers):
+    request = _request(method, path, body, **headers)
+    return PlatformCallers().read_call(request, _routes())
+
+
+def test_a_job_is_read_with_what_its_route_says():
+    call = _call("POST", f"/q/{KEY}", JOB, **{"clayfield-deadline-ms": "2210"})
+    job = call.job
+    assert isinstance(call, SubmitCall)
+    assert (job.key, job.queue, job.service) == (KEY, "r-1", "s")
+    assert (job.priority, job.max_attempts) == (1, 4)
+    assert (job.stretch, job.target_ms, job.timeout_ms) == (1.6, 60, 2210)
+    step = job.steps[0]
+    assert (step.count, step.cpu, step.memory_mb) == (4, 500, 256)
+
+
+def test_the_longest_prefix_gets_the_request():
+    call = _call("POST", f"/q/long/{KEY}", JOB)
+    assert call.job.queue == "r-2"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("POST", f"/other/{KEY}", JOB, 404),
+        ("POST", "/q/short", JOB, 404),
+        ("PATCH", f"/q/{KEY}", JOB, 405),
+        ("POST", f"/q/{KEY}", b"{", 400),
+        ("POST", f"/q/{KEY}", {**JOB, "spec": "x" * 4001}, 400),
+        ("POST", f"/q/{KEY}", {**JOB, "steps": []}, 400),
+        (
+            "POST",
+            f"/q/{KEY}",
+            {**JOB, "steps": [{"count": 1, "after": [0]}]},
+            400,
+        ),
+        ("POST", f"/q/{KEY}", {**JOB, "best_effort": False}, 503),
+        (
+            "POST",
+            f"/q/{KEY}",
+            {**JOB, "steps": [{"count": 2, "gang": True}]},
+            503,
+        ),
+    ],
+)
+def test_what_is_not_served_is_answered_at_once(method, path, body, status):
+    reply = _call(method, path, body)
+    assert isinstance(reply, HttpReply)
+    assert reply.status == status
+    has_retry = any(name == "Retry-After" for name, _ in reply.headers)
+    assert has_retry == (status == 503)
+
+
+def test_reads_and_cancels():
+    assert isinstance(_call("GET", f"/q/{KEY}"), StateCall)
+    assert isinstance(_call("DELETE", f"/q/{KEY}"), CancelCall)
+    assert _call("GET", "/q/").queue == "r-1"
+    assert isinstance(_call("GET", "/q/"), CountCall)
+    assert _call("GET", "/nothing/").status == 404
+
+
+def test_without_a_configuration_the_caller_is_to_come_back():
+    reply = PlatformCallers().read_call(
+        _request("POST", f"/q/{KEY}", JOB), Routes()
+    )
+    assert reply.status == 503
+
+
+@pytest.mark.parametrize(
+    ("verdict", "reason", "status", "retry"),
+    [
+        (Verdict.COMPLETED, Reason.NONE, 200, None),
+        (Verdict.FAILED, Reason.ATTEMPTS, 200, None),
+        (Verdict.REFUSED, Reason.TOO_LATE, 429, "2"),
+        (Verdict.REFUSED, Reason.NO_HOLDER, 503, "2"),
+        (Verdict.ABANDONED, Reason.TIMED_OUT, 504, None),
+        (Verdict.CANCELLED, Reason.CANCELLED, 410, None),
+    ],
+)
+def test_how_ends_are_told(verdict, reason, status, retry):
+    ended = JobEnded(KEY, verdict, reason, 1200.0)
+    reply = PlatformCallers().write_ended(ended)
+    assert reply.status == status
+    assert dict(reply.headers).get("Retry-After") == retry
+
+
+def _changed(path, value):
+    config = json.loads(json.dumps(CONFIG))
+    place = config
+    for step in path[:-1]:
+        place = place[step]
+    place[path[-1]] = value
+    return config
+
+
+@pytest.mark.parametrize(
+    "config",
+    [
+        json.dumps(CONFIG).encode()[:-40],
+        _changed(["routes", 0, "service"], "unknown"),
+        _changed(["routes", 1, "path_prefix"], "/q/"),
+        _changed(["routes", 0, "timeout_ms"], 0),
+        _changed(["version"], 0),
+        _changed(["version"], "seven"),
+        b"\xff\xfe",
+        b"[]",
+    ],
+)
+def test_an_invalid_configuration_is_refused_whole(config):
+    request = _request("PUT", "/-/config", config)
+    assert PlatformOperators().read_call(request).status == 400
+
+
+def test_a_valid_configuration_is_kept_as_it_was_written():
+    document = json.dumps({**CONFIG, "unknown": [1, 2]}, indent=3).encode()
+    call = PlatformOperators().read_call(_request("PUT", "/-/config", document))
+    assert isinstance(call, WriteCall)
+    assert (call.version, call.document) == (7, document)
+    read = PlatformOperators().read_call(_request("GET", "/-/config"))
+    assert isinstance(read, ReadCall)
+
+
+def test_a_workers_statement_is_read():
+    body = {
+        "service": "s",
+        "address": "10.0.0.9:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 8,
+        "state": "draining",
+        "cold_remaining_ms": 0,
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 1},
+        "labels": ["a", "r1-3"],
+        "clock_ms": 482113,
+        "seq": 4,
+    }
+    call = PlatformOperators().read_call(
+        _request("PUT", "/-/instances/i-7", body)
+    )
+    assert isinstance(call, StatementCall)
+    info = call.info
+    assert (info.name, info.state) == ("i-7", WorkerState.DRAINING)
+    assert (info.cpu, info.memory_mb, info.gpu) == (16000, 32768, 1)
+    assert info.labels == ("a", "r1-3")
+    left = PlatformOperators().read_call(_request("DELETE", "/-/instances/i-7"))
+    assert isinstance(left, LeaveCall)
+    assert left.name == "i-7"
+
+
+TASK = TaskId(KEY, 1, 17)
+
+
+def _sent(request):
+    head, _, body = request.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines[1:])
+    assert int(headers["Content-Length"]) == len(body)
+    return lines[0], headers, json.loads(body)
+
+
+def test_orders_are_written_as_the_pages_show_them():
+    protocol = PlatformWorkers()
+    start = StartRun("i-1", "10.0.0.9:80", TASK, 2, "text", 486000.7, 7)
+    line, headers, body = _sent(protocol.write_start(start))
+    assert line == "POST /-/run-start HTTP/1.1"
+    assert headers["Clayfield-Target-Instance"] == "i-1"
+    assert body == {
+        "task": f"{KEY}.0.1.17",
+        "run": 2,
+        "spec": "text",
+        "deadline_ms": 486000,
+        "fence": 7,
+    }
+    stop = StopRun("i-1", "10.0.0.9:80", TASK, 2, 7)
+    _, _, body = _sent(protocol.write_stop(stop))
+    assert body == {"task": f"{KEY}.0.1.17", "run": 2, "fence": 7}
+    hold = HoldWorker("i-1", "10.0.0.9:80", 57, 400, None, 7, 1)
+    _, _, body = _sent(protocol.write_hold(hold))
+    assert body == {"fence": 7, "seen_upto": 57, "wait_ms": 400}
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "result"),
+    [
+        (200, {"clock_ms": 5}, OrderResult.DONE),
+        (409, {"clock_ms": 5, "reason": "fence"}, OrderResult.FENCED),
+        (409, {"clock_ms": 5, "reason": "old"}, OrderResult.OLD_RUN),
+        (409, {"clock_ms": 5, "reason": "late"}, OrderResult.TOO_LATE),
+        (409, {"clock_ms": 5, "reason": "room"}, OrderResult.NO_ROOM),
+        (400, {}, OrderResult.BAD_ORDER),
+        (421, {}, OrderResult.GONE),
+        (429, {}, OrderResult.UNHEALTHY),
+        (503, {}, OrderResult.UNHEALTHY),
+    ],
+)
+def test_answers_to_orders_are_read(status, body, result):
+    answer = CallAnswer(CallEnd.ANSWERED, status, json.dumps(body).encode())
+    assert PlatformWorkers().read_order_answer(answer).result is result
+
+
+def test_lists_of_workers_are_read():
+    body = {
+        "clock_ms": 482113,
+        "running": [[f"{KEY}.0.1.17", 2, "00000bb8", 41]],
+        "ended": [[58, f"{KEY}.0.1.9", 1, "done", ""]],
+    }
+    answer = CallAnswer(CallEnd.ANSWERED, 200, json.dumps(body).encode())
+    held = PlatformWorkers().read_hold_answer(answer)
+    assert held.result is OrderResult.DONE
+    assert held.running[0].task_id == TASK
+    assert held.running[0].percent == 41
+    ended = held.ended[0]
+    assert (ended.sequence, ended.kind) == (58, EndKind.DONE)
+    assert ended.task_id == read_task(f"{KEY}.0.1.9")
+    cut = CallAnswer(CallEnd.ANSWERED, 200, b'{"clock_ms":')
+    assert PlatformWorkers().read_hold_answer(cut).result is OrderResult.LOST
+
+
+BOOT = {
+    "node": "front-a-1",
+    "role": "entry",
+    "class": "front",
+    "ip": "10.1.0.13",
+    "zone": "a",
+    "listen": {"front": "10.1.0.13:8161", "ready": "10.1.0.13:8167"},
+    "ephemeral_ports": [7720, 7735],
+    "seeds": ["10.1.0.16:8166", "10.2.0.33:8166"],
+    "bootstrap": True,
+    "data_dir": None,
+    "fault_tolerance": {"machines": 2, "zones": 1},
+    "bounds": {"max_hold_ms": 900, "stop_ms": 40, "grace_s": 5},
+    "orders": "call",
+    "unknown": {"to": "be ignored"},
+}
+
+
+def _written(tmp_path, **changes):
+    path = tmp_path / "boot.yaml"
+    path.write_text(yaml.safe_dump({**BOOT, **changes}))
+    return str(path)
+
+
+def test_the_settings_file_is_read(tmp_path):
+    cfg = to_settings(read_boot(_written(tmp_path)))
+    assert cfg.seeds == (("10.1.0.16", 7720), ("10.2.0.33", 7720))
+    assert cfg.callers == ("10.1.0.13", 8161)
+    assert cfg.operators is None
+    assert (cfg.losses, cfg.lease_ms, cfg.stop_ms) == (2, 900, 40)
+    assert cfg.grace_ms == 5000
+    assert cfg.is_first_start
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"orders": "heartbeat"}, "orders"),
+        ({"discovery": "list"}, "discovery"),
+        ({"config_mode": "compare"}, "config_mode"),
+        ({"seeds": 7}, "seeds"),
+        ({"ip": None}, "ip"),
+    ],
+)
+def test_settings_that_are_not_served_are_refused(tmp_path, changes, named):
+    with pytest.raises(ClayfieldError, match=named):
+        read_boot(_written(tmp_path, **changes))
+
+
+def test_nothing_outside_knows_the_platforms_names():
+    names = re.compile(
+        r"/-/|clayfield-(deadline-ms|target-instance|instance-id|lease-holder"
+        r"|fencing-token)",
+        re.IGNORECASE,
+    )
+    for path in (ROOT / "packages").glob("*/src/**/*.py"):
+        assert not names.search(path.read_text()), path
