Log each decision about a job, a run and a worker; serve metrics

Cause: a failed request left only its entry's verdict in the logs, so nobody could tell why the holder refused it or lost a run. Change: one line a job at its entry and at its holder (forecast, objective, starts, workers), one for each run that ended otherwise than done, for each worker that falls silent, comes back, is set aside or fenced; bounded to 150 lines a second, what is dropped is counted; counters and histograms at PORT/metrics.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -14,7 +14,7 @@
 import msgspec
 
 # Bounds of what is written to standard output.
-LINES_A_S = 100.0
+LINES_A_S = 150.0
 BURST_LINES = 400.0
 
 
@@ -119,11 +119,83 @@
         "a worker broke the protocol",
         ("worker", "error"),
     )
-    JOB_NOT_DONE = _Spec(
+    JOB_ANSWERED = _Spec(
         6001,
         logbook.INFO,
-        "a job ended without success",
-        ("job", "verdict", "reason", "retry_after_ms"),
+        "an entry answered the caller of a job",
+        (
+            "job",
+            "queue",
+            "verdict",
+            "reason",
+            "took_ms",
+            "retry_after_ms",
+            "epoch",
+            "holder",
+        ),
+    )
+    JOB_ENDED = _Spec(
+        6002,
+        logbook.INFO,
+        "the holder ended a job",
+        (
+            "job",
+            "queue",
+            "verdict",
+            "reason",
+            "age_ms",
+            "objective_ms",
+            "forecast_ms",
+            "starts",
+            "workers",
+            "open_jobs",
+            "fence",
+        ),
+    )
+    RUN_LOST = _Spec(
+        6003,
+        logbook.INFO,
+        "a run ended otherwise than done",
+        ("job", "step", "index", "run", "worker", "state", "end", "ran_ms"),
+    )
+    RUN_DOUBTFUL = _Spec(
+        6004,
+        logbook.WARNING,
+        "a start got no answer and is being stopped",
+        ("job", "step", "index", "run", "worker"),
+    )
+    WORKER_SILENT = _Spec(
+        6005,
+        logbook.WARNING,
+        "a worker does not answer; nothing new is placed there",
+        ("worker", "silent_ms", "runs"),
+    )
+    WORKER_BACK = _Spec(
+        6006,
+        logbook.INFO,
+        "a worker answers again",
+        ("worker", "silent_ms"),
+    )
+    WORKER_GONE = _Spec(
+        6007, logbook.INFO, "a worker's life is over", ("worker", "runs")
+    )
+    WORKER_SET_ASIDE = _Spec(
+        6008,
+        logbook.WARNING,
+        "a worker gets nothing new for a while",
+        ("worker", "cause", "pause_ms"),
+    )
+    WORKER_FENCED = _Spec(
+        6009,
+        logbook.WARNING,
+        "a worker obeys a higher fence",
+        ("worker", "fence"),
+    )
+    WORKER_KNOWN = _Spec(
+        6010,
+        logbook.INFO,
+        "a worker said something new of itself",
+        ("worker", "state", "sequence", "hall"),
     )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was contained", ("error",)
@@ -136,6 +208,7 @@
 
 
 _logger = logbook.Logger("clayfield")
+_bounded: list["BoundedJsonLines"] = []
 
 
 def emit(event: Event, **fields: object) -> None:
@@ -186,11 +259,12 @@
         self._allowance = BURST_LINES
         self._filled_s = time.monotonic()
         self._dropped = 0
+        self._dropped_ever = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes a record, or counts it as dropped."""
         if not self._may_write(record):
-            self._dropped += 1
+            self._drop()
             return
         line = self.format(record)
         if self._dropped:
@@ -199,7 +273,16 @@
             os.write(self._fd, line.encode() + b"\n")
             self._dropped = 0
         except OSError:
-            self._dropped += 1
+            self._drop()
+
+    @property
+    def dropped(self) -> int:
+        """How many lines were dropped since the start."""
+        return self._dropped_ever
+
+    def _drop(self) -> None:
+        self._dropped += 1
+        self._dropped_ever += 1
 
     def _may_write(self, record: logbook.LogRecord) -> bool:
         now_s = time.monotonic()
@@ -216,6 +299,12 @@
     """Sends events to standard output, bounded, without ever waiting."""
     handler = BoundedJsonLines(logbook.lookup_level(level.upper()))
     handler.push_application()
+    _bounded.append(handler)
+
+
+def lines_dropped() -> int:
+    """Returns how many lines bounded logging has dropped."""
+    return sum(handler.dropped for handler in _bounded)
 
 
 def set_up(level: str) -> None:
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -27,6 +27,7 @@
     WriteCall,
 )
 from clayfield.node.httpserver import HttpBounds, HttpRequest, HttpServer
+from clayfield.node.metrics import ControlMetrics, MetricsServer
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import NodeSettings, place_text
 from clayfield.node.streams import StreamListener, Streams
@@ -72,6 +73,9 @@
             reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
         )
         self._server = HttpServer(reactor, self._on_request, _bounds)
+        self._metrics_server = MetricsServer(
+            reactor, ControlMetrics(self._control)
+        )
         self._writes: dict[int, HttpRequest] = {}
         self._next_write = 0
         self._ticks = 0
@@ -101,6 +105,7 @@
         """Listens and connects."""
         self._streams.start()
         self._server.listen(self._cfg.operators)
+        self._metrics_server.start(self._cfg)
         seeds = tuple(place_text(seed) for seed in self._cfg.seeds)
         self._control.learn_addresses(seeds)
 
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -18,6 +18,7 @@
     WorkerProtocol,
 )
 from clayfield.node.httpserver import HttpBounds, HttpRequest, HttpServer
+from clayfield.node.metrics import EntryMetrics, MetricsServer
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import NodeSettings, place_text
 from clayfield.node.streams import StreamListener, Streams
@@ -41,7 +42,6 @@
     JobEnded,
     NodeGreeting,
 )
-from clayfield.wire.jobs import Verdict
 from clayfield.wire.messages import Message
 
 ROLE = "entry"
@@ -53,6 +53,20 @@
 MARGIN_MS = 500.0
 
 
+class _Waiter:
+    """A caller that waits."""
+
+    __slots__ = ("key", "queue", "request", "since_ms")
+
+    def __init__(
+        self, request: HttpRequest, key: str, queue: str, since_ms: float
+    ):
+        self.request = request
+        self.key = key
+        self.queue = queue
+        self.since_ms = since_ms
+
+
 class EntryProcess(NodeProcess, StreamListener):
     """The process of one entry."""
 
@@ -84,8 +98,9 @@
         )
         self._server = HttpServer(reactor, self._on_request, self._bounds)
         self._readiness = HttpServer(reactor, self._on_readiness, HttpBounds)
-        self._waiters: dict[int, HttpRequest] = {}
-        self._keys: dict[int, str] = {}
+        self._waiters: dict[int, _Waiter] = {}
+        self._metrics = EntryMetrics(self._entry)
+        self._metrics_server = MetricsServer(reactor, self._metrics)
         self._next_waiter = 0
         self._ticks = 0
         self._stop_began_ms: float | None = None
@@ -99,6 +114,7 @@
         self._streams.start()
         self._server.listen(self._cfg.callers)
         self._readiness.listen(self._cfg.readiness)
+        self._metrics_server.start(self._cfg)
         for seed in self._cfg.seeds:
             self._streams.dial(place_text(seed))
 
@@ -174,10 +190,10 @@
             case HttpReply():
                 _reply(request, call)
             case SubmitCall(job=job):
-                waiter = self._wait(request, job.key)
+                waiter = self._wait(request, job.key, job.queue)
                 self._entry.submit(job, waiter)
             case CancelCall(key=key):
-                self._entry.cancel(key, self._wait(request, key))
+                self._entry.cancel(key, self._wait(request, key, ""))
             case StateCall():
                 _reply(request, self._callers.write_unknown_job())
             case CountCall(queue=queue):
@@ -185,24 +201,44 @@
                 _reply(request, self._callers.write_count(waiting))
         self.kick()
 
-    def _wait(self, request: HttpRequest, key: str) -> int:
+    def _wait(self, request: HttpRequest, key: str, queue: str) -> int:
         self._next_waiter += 1
-        waiter = self._next_waiter
-        self._waiters[waiter] = request
-        self._keys[waiter] = key
-        request.on_gone = lambda: self._on_gone(waiter)
-        return waiter
-
-    def _on_gone(self, waiter: int) -> None:
-        self._waiters.pop(waiter, None)
-        self._entry.leave(self._keys.pop(waiter), waiter)
-        self.kick()
+        number = self._next_waiter
+        self._waiters[number] = _Waiter(
+            request, key, queue, self._clock.now_ms()
+        )
+        request.on_gone = lambda: self._on_gone(number)
+        return number
+
+    def _on_gone(self, number: int) -> None:
+        waiter = self._waiters.pop(number, None)
+        if waiter:
+            self._entry.leave(waiter.key, number)
+            self.kick()
+
+    def _answer_job(self, number: int, ended: JobEnded) -> None:
+        waiter = self._waiters.pop(number, None)
+        if waiter is None:
+            return
+        took_ms = self._clock.now_ms() - waiter.since_ms
+        self._metrics.on_answered(waiter.queue, ended, took_ms)
+        emit(
+            Event.JOB_ANSWERED,
+            job=ended.key,
+            queue=waiter.queue,
+            verdict=ended.verdict.name.lower(),
+            reason=ended.reason.value,
+            took_ms=round(took_ms),
+            retry_after_ms=round(ended.retry_after_ms),
+            epoch=self._entry.grant.epoch,
+            holder=self._entry.holder,
+        )
+        _reply(waiter.request, self._callers.write_ended(ended))
 
-    def _answer(self, waiter: int, reply: HttpReply) -> None:
-        request = self._waiters.pop(waiter, None)
-        self._keys.pop(waiter, None)
-        if request:
-            _reply(request, reply)
+    def _answer_cancel(self, number: int, is_known: bool | None) -> None:
+        waiter = self._waiters.pop(number, None)
+        if waiter:
+            _reply(waiter.request, self._callers.write_cancelled(is_known))
 
     # Streams.
 
@@ -258,24 +294,12 @@
                 case StopRun():
                     self._orders.stop(action)
                 case AnswerCaller(waiter=waiter, ended=ended):
-                    self._log_end(ended)
-                    self._answer(waiter, self._callers.write_ended(ended))
+                    self._answer_job(waiter, ended)
                 case AnswerCancel(waiter=waiter, is_known=is_known):
-                    reply = self._callers.write_cancelled(is_known)
-                    self._answer(waiter, reply)
+                    self._answer_cancel(waiter, is_known)
                 case Dial(node=node):
                     self._streams.dial(box_of(node))
 
-    def _log_end(self, ended: JobEnded) -> None:
-        if ended.verdict is not Verdict.COMPLETED:
-            emit(
-                Event.JOB_NOT_DONE,
-                job=ended.key,
-                verdict=ended.verdict.name.lower(),
-                reason=ended.reason.value,
-                retry_after_ms=round(ended.retry_after_ms),
-            )
-
 
 def _reply(request: HttpRequest, reply: HttpReply) -> None:
     request.answer(reply.status, reply.body, headers=reply.headers)
--- /dev/null
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -0,0 +1,136 @@
+"""What a node counts, served in the form that Prometheus reads."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from twisted.internet import interfaces
+
+from clayfield.base.events import lines_dropped
+from clayfield.cluster import ControlNode
+from clayfield.node.httpserver import (
+    TEXT_TYPE,
+    HttpBounds,
+    HttpRequest,
+    HttpServer,
+)
+from clayfield.node.settings import NodeSettings
+from clayfield.pool import Entry
+from clayfield.wire.cluster import JobEnded
+
+RESPONSE_BUCKETS = [10, 30, 60, 100, 200, 300, 500, 1000, 2000, 5000]
+
+
+class NodeMetrics:
+    """The metrics that both kinds of node have."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._gauges: dict[str, Gauge] = {}
+        self._dropped = Counter(
+            "clayfield_log_lines_dropped_total",
+            "Log lines beyond the bounds.",
+            registry=self._registry,
+        )
+
+    def _set(self, name: str, text: str, value: float) -> None:
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(f"clayfield_{name}", text, registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set({}, value)
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        self._dropped.set({}, lines_dropped())
+        self._read()
+        content, _ = render(self._registry, ["text/plain"])
+        return content
+
+    def _read(self) -> None:
+        """Brings the gauges up to date."""
+
+
+class EntryMetrics(NodeMetrics):
+    """The metrics of an entry."""
+
+    def __init__(self, entry: Entry):
+        super().__init__()
+        self._entry = entry
+        self._ended = Counter(
+            "clayfield_jobs_ended_total",
+            "Jobs answered, by queue, verdict and reason.",
+            registry=self._registry,
+        )
+        self._response = Histogram(
+            "clayfield_job_response_ms",
+            "From a job's arrival to its answer, by queue.",
+            buckets=RESPONSE_BUCKETS,
+            registry=self._registry,
+        )
+
+    def on_answered(self, queue: str, ended: JobEnded, took_ms: float) -> None:
+        """Takes the answer of a job."""
+        labels = {
+            "queue": queue,
+            "verdict": ended.verdict.name.lower(),
+            "reason": ended.reason.value,
+        }
+        self._ended.inc(labels)
+        self._response.observe({"queue": queue}, took_ms)
+
+    def _read(self) -> None:
+        entry = self._entry
+        self._set("open_jobs", "Jobs without an answer.", entry.open_jobs)
+        self._set("ready", "Whether it takes callers.", int(entry.is_ready))
+        self._set("config_version", "In force.", entry.routes.version)
+        self._set("epoch", "Of the latest grant.", entry.grant.epoch)
+        dispatcher = entry.dispatcher
+        self._set("holding", "Whether it holds workers.", int(bool(dispatcher)))
+        if dispatcher is None:
+            return
+        workers = dispatcher.fleet.workers.values()
+        self._set("held_workers", "Workers held.", len(workers))
+        self._set(
+            "silent_workers",
+            "Workers that do not answer.",
+            sum(not worker.is_reachable for worker in workers),
+        )
+        self._set("held_jobs", "Jobs of all entries.", dispatcher.open_jobs)
+        self._set("runs", "Runs on workers.", sum(len(w.runs) for w in workers))
+
+
+class ControlMetrics(NodeMetrics):
+    """The metrics of a control node."""
+
+    def __init__(self, control: ControlNode):
+        super().__init__()
+        self._control = control
+
+    def _read(self) -> None:
+        control = self._control
+        self._set("leading", "Whether it leads.", int(control.is_sure))
+        self._set("term", "Of the log.", control.consensus.term)
+        self._set("log_index", "Committed.", control.consensus.commit)
+        self._set("config_version", "In force.", control.state.version)
+        self._set("epoch", "Of the latest grant.", control.state.grant.epoch)
+        known = len(control.workers.all())
+        self._set("known_workers", "That made statements.", known)
+
+
+class MetricsServer:
+    """Serves a node's metrics at an address of its own."""
+
+    def __init__(self, reactor: interfaces.IReactorTCP, metrics: NodeMetrics):
+        self._metrics = metrics
+        self._server = HttpServer(reactor, self._on_request, HttpBounds)
+
+    def start(self, cfg: NodeSettings) -> None:
+        """Listens, where the settings name an address.
+
+        Raises:
+            twisted.internet.error.CannotListenError: the address is taken.
+        """
+        if cfg.metrics:
+            self._server.listen(cfg.metrics)
+
+    def _on_request(self, request: HttpRequest) -> None:
+        request.answer(200, self._metrics.render(), TEXT_TYPE)
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -1,6 +1,7 @@
 """The holder's decisions: which task runs on which worker, in what order."""
 
 from clayfield.base import Clock
+from clayfield.base.events import Event, emit
 from clayfield.pool.estimates import Estimates
 from clayfield.pool.fleet import (
     Fleet,
@@ -256,6 +257,7 @@
                 self._add_to(forecast, other)
         end_ms = self._add_to(forecast, opened)
         age_ms = now_ms - opened.arrived_ms
+        opened.forecast_ms = age_ms + end_ms
         if age_ms + end_ms + OVERHEAD_MS <= self._objective_ms(job):
             return True
         self._refuse(opened, end_ms)
@@ -340,6 +342,8 @@
             self.fleet.start(worker, task, expected_ms)
             task.state = TaskState.PLACED
             opened.is_offered = True
+            opened.starts += 1
+            opened.placed_on.add(worker.name)
         if is_all_placed:
             self._queue.pop(opened.job.key, None)
 
@@ -364,6 +368,7 @@
         self._jobs.pop(key, None)
         self._queue.pop(key, None)
         self._unsettled.pop(key, None)
+        self._log_end(opened, verdict, reason)
         ended = JobEnded(key, verdict, reason, retry_after_ms)
         self._answers[key] = (self._clock.now_ms(), ended)
         for entry in opened.entries:
@@ -372,6 +377,24 @@
             if task.run and task.run.state is not RunState.DOUBTFUL:
                 self.fleet.stop(task.run)
 
+    def _log_end(
+        self, opened: OpenJob, verdict: Verdict, reason: Reason
+    ) -> None:
+        emit(
+            Event.JOB_ENDED,
+            job=opened.job.key,
+            queue=opened.job.queue,
+            verdict=verdict.name.lower(),
+            reason=reason.value,
+            age_ms=round(self._clock.now_ms() - opened.arrived_ms),
+            objective_ms=round(self._objective_ms(opened.job)),
+            forecast_ms=round(opened.forecast_ms),
+            starts=opened.starts,
+            workers=sorted(opened.placed_on),
+            open_jobs=len(self._jobs),
+            fence=self.fleet.fence,
+        )
+
 
 def _left_ms(run: Run, now_ms: float) -> float:
     """Returns how long a run will likely go on."""
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -9,6 +9,7 @@
 import enum
 
 from clayfield.base import Clock
+from clayfield.base.events import Event, emit
 from clayfield.pool.orders import (
     EndedRow,
     EndKind,
@@ -143,7 +144,10 @@
             self.workers[info.name] = Worker(
                 info, self._clock.now_ms(), first_call
             )
+            _log_known(info)
         elif info.sequence >= known.info.sequence:
+            if info.state is not known.info.state:
+                _log_known(info)
             known.info = info
 
     def on_worker_left(self, name: str) -> None:
@@ -152,6 +156,7 @@
         if worker is None:
             return
         worker.is_gone = True
+        emit(Event.WORKER_GONE, worker=name, runs=len(worker.runs))
         self._probe_at_ms.pop(name, None)
         for run in list(worker.runs.values()):
             self._end(worker, run, RunEnd.LOST)
@@ -243,6 +248,7 @@
                 return
             case OrderResult.LOST:
                 run.state = RunState.DOUBTFUL
+                emit(Event.RUN_DOUBTFUL, **_names(run))
                 self._order_stop(worker, run)
             case OrderResult.OLD_RUN:
                 run.task.last_run += OLD_RUN_STEP
@@ -261,7 +267,7 @@
             case OrderResult.GONE:
                 self.on_worker_left(worker.name)
             case OrderResult.UNHEALTHY | OrderResult.NO_ROOM:
-                worker.set_aside(self._clock.now_ms())
+                worker.set_aside(self._clock.now_ms(), result.value)
             case OrderResult.UNREACHED:
                 self._on_unreachable(worker)
 
@@ -303,7 +309,7 @@
             self._on_hold_failed(worker, answer.result)
             return
         self._note_answer(worker, answer.clock_ms)
-        worker.is_reachable = True
+        self._on_reachable(worker)
         worker.next_hold_ms = now_ms
         for row in answer.ended:
             self._on_ended(worker, row)
@@ -325,11 +331,28 @@
             worker.on_clock(clock_ms, now_ms)
 
     def _on_unreachable(self, worker: Worker) -> None:
+        if not worker.is_reachable:
+            return
+        now_ms = self._clock.now_ms()
+        worker.is_reachable = False
+        worker.unreachable_since_ms = now_ms
+        emit(
+            Event.WORKER_SILENT,
+            worker=worker.name,
+            silent_ms=round(now_ms - worker.answered_ms),
+            runs=len(worker.runs),
+        )
+
+    def _on_reachable(self, worker: Worker) -> None:
         if worker.is_reachable:
-            worker.is_reachable = False
-            worker.unreachable_since_ms = self._clock.now_ms()
+            return
+        worker.is_reachable = True
+        silent_ms = self._clock.now_ms() - worker.unreachable_since_ms
+        emit(Event.WORKER_BACK, worker=worker.name, silent_ms=round(silent_ms))
 
     def _on_fenced(self, worker: Worker) -> None:
+        if worker.is_adopted:
+            emit(Event.WORKER_FENCED, worker=worker.name, fence=self.fence)
         worker.is_adopted = False
         worker.next_hold_ms = self._clock.now_ms() + FENCED_PAUSE_MS
         self._listener.on_fenced(worker)
@@ -423,6 +446,14 @@
         return True
 
     def _end(self, worker: Worker, run: Run, end: RunEnd) -> None:
+        if end is not RunEnd.DONE:
+            emit(
+                Event.RUN_LOST,
+                **_names(run),
+                state=run.state.value,
+                end=end.value,
+                ran_ms=round(self._clock.now_ms() - run.since_ms),
+            )
         worker.release(run)
         self.foreign.pop(run.task_id, None)
         self._listener.on_run_end(run, end, worker)
@@ -503,3 +534,24 @@
         return False
     allowed_ms = run.expected_ms * OVERDUE_SHARE + OVERDUE_MS
     return now_ms - run.answered_ms > allowed_ms
+
+
+def _names(run: Run) -> dict[str, object]:
+    """Returns the fields that name a run in the log."""
+    return {
+        "job": run.task_id.job,
+        "step": run.task_id.step,
+        "index": run.task_id.index,
+        "run": run.number,
+        "worker": run.worker,
+    }
+
+
+def _log_known(info: WorkerInfo) -> None:
+    emit(
+        Event.WORKER_KNOWN,
+        worker=info.name,
+        state=info.state.value,
+        sequence=info.sequence,
+        hall=info.hall,
+    )
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -145,16 +145,23 @@
         tasks: its tasks by step.
         is_offered: whether any task of it was given to a worker.
         is_placeable: whether its tasks may be started yet.
+        is_ended: whether it has been answered.
+        forecast_ms: its end from its arrival, as last forecast.
+        starts: how many runs of it were ordered.
+        placed_on: the workers that they were ordered from.
     """
 
     __slots__ = (
         "arrived_ms",
         "entries",
         "first_run",
+        "forecast_ms",
         "is_ended",
         "is_offered",
         "is_placeable",
         "job",
+        "placed_on",
+        "starts",
         "tasks",
     )
 
@@ -166,6 +173,9 @@
         self.is_offered = False
         self.is_placeable = True
         self.is_ended = False
+        self.forecast_ms = 0.0
+        self.starts = 0
+        self.placed_on: set[str] = set()
         self.tasks = [
             [Task(self, number, index, step) for index in range(step.count)]
             for number, step in enumerate(job.steps)
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -1,5 +1,6 @@
 """One worker as its holder sees it: room, lease, clock and health."""
 
+from clayfield.base.events import Event, emit
 from clayfield.pool.tasks import Run, TaskId
 from clayfield.wire.jobs import Step, WorkerInfo, WorkerState
 
@@ -165,12 +166,18 @@
         if job not in self._failed_jobs:
             self._failed_jobs.append(job)
         if len(self._failed_jobs) >= FAILED_JOBS:
-            self.set_aside(now_ms)
+            self.set_aside(now_ms, f"{len(self._failed_jobs)} jobs failed")
 
-    def set_aside(self, now_ms: float) -> None:
+    def set_aside(self, now_ms: float, cause: str) -> None:
         """Gives it no new tasks for a while, longer each time."""
         if now_ms < self._paused_until_ms:
             return
+        emit(
+            Event.WORKER_SET_ASIDE,
+            worker=self.name,
+            cause=cause,
+            pause_ms=round(self._pause_ms),
+        )
         self._paused_until_ms = now_ms + self._pause_ms
         self._pause_ms = min(LONGEST_PAUSE_MS, self._pause_ms * 2)
 
