--- a/packages/cluster/src/clayfield/cluster/holders.py
+++ b/packages/cluster/src/clayfield/cluster/holders.py
@@ -6,6 +6,7 @@
 
 from clayfield.base import Clock
 from clayfield.cluster.directory import SetGrant
+from clayfield.state.membership import box_of
 from clayfield.wire.cluster import EntryStatus, Grant, NodeGreeting
 
 # A stream that ended may be back at once; only then is its node taken for
@@ -121,11 +122,21 @@
     def _is_lost(self, grant: Grant, now_ms: float) -> bool:
         if not grant.holder:
             return self._has_choice(now_ms)
+        if self._is_superseded(grant.holder):
+            return True
         missed_ms = self._missed_since.get(grant.holder)
         if missed_ms is not None:
             return now_ms - missed_ms >= RECONNECT_MS
         return now_ms - self._led_since_ms >= TAKEOVER_MS
 
+    def _is_superseded(self, node: str) -> bool:
+        """Tells whether a later process speaks from a node's address."""
+        address = box_of(node)
+        return any(
+            box_of(other) == address and other != node
+            for other in self._entries
+        )
+
     def _has_choice(self, now_ms: float) -> bool:
         first_ms = min(
             (entry.since_ms for entry in self._entries.values()),
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -143,6 +143,23 @@
     assert site.grants[2].holder != holder
 
 
+def test_when_all_restart_a_holder_is_granted_as_soon_as_one_leads():
+    site = _site(entries=tuple(ENTRIES))
+    for address in site.first:
+        site.kill(address)
+    for entry in ENTRIES:
+        site.remove_entry(entry)
+    site.run(1000)
+    for address in site.first:
+        site.start(address)
+    for entry, hall in ENTRIES.items():
+        site.add_entry(entry.replace("/1", "/2"), hall)
+    while not site.leader():
+        site.run(10)
+    site.run(100)
+    assert site.grants[2].holder.endswith("/2")
+
+
 def test_a_holder_that_stops_is_followed_by_another():
     site = _site(entries=tuple(ENTRIES))
     holder = site.grants[1].holder
