Serve pools by clayfield's own protocols and command as well

Cause: the pool's decisions could be used only through the platform's folder. Change: clayfield.node.own (callers, operators, workers) and the command clayfield-node stand on the same faces. A grant now counts as proof that the hall is not cut off: in a cluster of one hall a second epoch was asked for within 90 ms of the first (found by the process tests). Tests: processes on loopback (steps, refusals, stop, kills, logs, settings) and the same job by either protocol leading to the same orders.

--- /dev/null
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -0,0 +1,194 @@
+"""How callers submit jobs of steps: `/v1/queues/QUEUE/jobs/KEY`."""
+
+import math
+import re
+
+import msgspec
+
+from clayfield.base import ClayfieldError, Kind
+from clayfield.node.faces import (
+    CallerCall,
+    CallerProtocol,
+    CancelCall,
+    CountCall,
+    HttpReply,
+    StateCall,
+    SubmitCall,
+)
+from clayfield.node.httpserver import HttpRequest
+from clayfield.pool import Routes
+from clayfield.wire.cluster import JobEnded
+from clayfield.wire.jobs import Job, Reason, Route, Step, Verdict
+
+MS_PER_S = 1000.0
+FIRST_RETRY_MS = 1000.0
+MAX_SPEC_BYTES = 4000
+_PATH = re.compile(r"/v1/queues/[^/]+(/jobs/(?P<key>[A-Za-z0-9_-]{1,64}))?/?")
+_KINDS = {
+    Reason.TOO_LATE: Kind.QUEUE_FULL,
+    Reason.NO_WORKER: Kind.NO_WORKER,
+    Reason.NO_HOLDER: Kind.NO_WORKER,
+    Reason.STOPPING: Kind.STOPPING,
+}
+
+
+class _Step(msgspec.Struct, forbid_unknown_fields=True):
+    count: int
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: tuple[int, ...] = ()
+    requires: str = ""
+    rack: str = ""
+    max_per_worker: int = 0
+
+
+class _Submission(msgspec.Struct, forbid_unknown_fields=True):
+    spec: str
+    steps: list[_Step]
+    timeout_ms: float = 0.0
+
+
+class _Outcome(msgspec.Struct):
+    verdict: str
+
+
+class _Count(msgspec.Struct):
+    open_jobs: int
+
+
+class _Problem(msgspec.Struct):
+    code: str
+    title: str
+    detail: str
+    remedy: str
+
+
+_decoder = msgspec.json.Decoder(_Submission)
+
+
+class OwnCallers(CallerProtocol):
+    """Jobs over HTTP, the queue named by the path."""
+
+    def read_call(self, request: HttpRequest, routes: Routes) -> CallerCall:
+        """Returns what a request asks for, or its answer at once."""
+        if not routes.version:
+            return _problem(Kind.NOT_READY, "", FIRST_RETRY_MS)
+        path = request.path.partition("?")[0]
+        matched = _PATH.fullmatch(path)
+        host = request.headers.get("host", "").partition(":")[0]
+        route = routes.find(host, path) or routes.find("", path)
+        if matched is None or route is None:
+            return _problem(Kind.NOT_FOUND, path)
+        key = matched.group("key")
+        if key is None:
+            return CountCall(route.name)
+        try:
+            return _read_job_call(request, route, key)
+        except ClayfieldError as exc:
+            return _problem(exc.kind, exc.problem.detail)
+
+    def write_ended(self, ended: JobEnded) -> HttpReply:
+        """Returns the answer to the caller of a job that ended."""
+        match ended.verdict:
+            case Verdict.COMPLETED | Verdict.FAILED:
+                outcome = _Outcome(ended.verdict.name.lower())
+                return HttpReply(200, msgspec.json.encode(outcome))
+            case Verdict.CANCELLED:
+                return _problem(Kind.NOT_FOUND, "The job was cancelled.")
+            case Verdict.REFUSED:
+                kind = _KINDS.get(ended.reason, Kind.DEADLINE)
+                return _problem(kind, ended.reason, ended.retry_after_ms)
+        return _problem(Kind.TASK_LOST, ended.reason)
+
+    def write_cancelled(self, is_known: bool | None) -> HttpReply:
+        """Returns the answer to a cancel."""
+        if is_known is None:
+            return _problem(Kind.NO_WORKER, Reason.NO_HOLDER, FIRST_RETRY_MS)
+        return HttpReply(200) if is_known else _problem(Kind.NOT_FOUND, "")
+
+    def write_unknown_job(self) -> HttpReply:
+        """Returns the answer about a job that is not kept."""
+        return _problem(Kind.NOT_FOUND, "Jobs are answered once, not kept.")
+
+    def write_count(self, waiting: int) -> HttpReply:
+        """Returns the answer that tells how many jobs wait."""
+        return HttpReply(200, msgspec.json.encode(_Count(waiting)))
+
+
+def _read_job_call(request: HttpRequest, route: Route, key: str) -> CallerCall:
+    match request.method:
+        case "PUT" | "POST":
+            return SubmitCall(_read_job(request.body, route, key))
+        case "DELETE":
+            return CancelCall(key)
+        case "GET":
+            return StateCall(key)
+    raise ClayfieldError(Kind.NOT_FOUND, f"{request.method} is not served.")
+
+
+def _read_job(body: bytes, route: Route, key: str) -> Job:
+    """Returns the job in a body.
+
+    Raises:
+        ClayfieldError: of kind BAD_JSON, BAD_FIELD or TOO_LARGE.
+    """
+    try:
+        said = _decoder.decode(body)
+    except msgspec.ValidationError as exc:
+        raise ClayfieldError(Kind.BAD_FIELD, f"{exc}.") from exc
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise ClayfieldError(Kind.BAD_JSON, f"{exc}.") from exc
+    if len(said.spec.encode()) > MAX_SPEC_BYTES:
+        raise ClayfieldError(Kind.TOO_LARGE, f"spec over {MAX_SPEC_BYTES}.")
+    _check_steps(said.steps)
+    return Job(
+        key,
+        route.name,
+        route.service,
+        said.spec,
+        tuple(_step(step) for step in said.steps),
+        route.priority,
+        route.max_attempts,
+        route.stretch,
+        route.target_ms,
+        said.timeout_ms or route.timeout_ms,
+    )
+
+
+def _check_steps(steps: list[_Step]) -> None:
+    if not steps:
+        raise ClayfieldError(Kind.BAD_FIELD, "steps: name at least one.")
+    for number, step in enumerate(steps):
+        if step.count < 1:
+            raise ClayfieldError(
+                Kind.BAD_FIELD, f"steps[{number}].count is not above 0."
+            )
+        if any(not 0 <= before < number for before in step.after):
+            raise ClayfieldError(
+                Kind.BAD_FIELD, f"steps[{number}].after is no earlier step."
+            )
+
+
+def _step(step: _Step) -> Step:
+    return Step(
+        step.count,
+        step.cpu,
+        step.memory_mb,
+        step.gpu,
+        step.estimate_ms,
+        step.after,
+        step.requires,
+        step.rack,
+        step.max_per_worker,
+    )
+
+
+def _problem(kind: Kind, detail: str, retry_ms: float = 0.0) -> HttpReply:
+    body = _Problem(kind.code, kind.title, str(detail), kind.remedy)
+    headers: tuple[tuple[str, str], ...] = ()
+    if retry_ms:
+        after_s = max(1, math.ceil(retry_ms / MS_PER_S))
+        headers = (("Retry-After", str(after_s)),)
+    return HttpReply(kind.status, msgspec.json.encode(body), headers)
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -308,10 +308,11 @@
     def _on_grant(self, grant: Grant) -> None:
         if grant.epoch <= self.grant.epoch:
             return
-        self._note_outside()
         is_same = grant.holder == self.grant.holder and not self._uses_standby
         self.grant = grant
-        self._uses_standby = self._is_isolated()
+        # A grant is proof of a majority that was just heard.
+        self._outside_ms = self._clock.now_ms()
+        self._uses_standby = False
         self._actions.append(Dial(grant.holder))
         standby = grant.standbys.get(self.hall)
         if standby:
--- /dev/null
+++ b/tests/test_node_processes.py
@@ -0,0 +1,272 @@
+"""Entries, control nodes and workers of a pool as real processes."""
+
+import http.client
+import json
+import re
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from clayfield.testbed.processes import fetch, free_port, wait_for
+
+LOOPBACK = "127.0.0.1"
+HELD_WORKERS = r"clayfield_held_workers\S* 4\b"
+ROUTING = {
+    "version": 3,
+    "queues": [
+        {
+            "name": "fast",
+            "service": "demo",
+            "timeout_ms": 8000,
+            "target_ms": 5000,
+            "max_attempts": 3,
+            "stretch": 2.0,
+        }
+    ],
+    "services": [{"name": "demo"}],
+}
+JOB = {
+    "spec": "text",
+    "steps": [
+        {"count": 3, "cpu": 6800, "memory_mb": 64, "estimate_ms": 20},
+        {"count": 1, "cpu": 6800, "estimate_ms": 20, "after": [0]},
+    ],
+}
+
+
+class Node:
+    """One clayfield-node process."""
+
+    def __init__(self, role, name, seeds, folder, first="yes", peers=None):
+        self.role = role
+        self.port = free_port()
+        self.ready = free_port()
+        self.metrics = free_port()
+        self.peers = peers or free_port()
+        self.log = folder / f"{name}.log"
+        self._command = [
+            sys.executable,
+            "-m",
+            "clayfield.node.main",
+            role,
+            f"--node={name}",
+            f"--peers={LOOPBACK}:{self.peers}",
+            "--seeds=" + ",".join(f"{LOOPBACK}:{seed}" for seed in seeds),
+            f"--metrics={LOOPBACK}:{self.metrics}",
+            "--grace-ms=6000",
+        ]
+        if role == "control":
+            self._command += [
+                f"--operators={LOOPBACK}:{self.port}",
+                f"--data-folder={folder / name}",
+            ]
+        else:
+            self._command += [
+                f"--callers={LOOPBACK}:{self.port}",
+                f"--readiness={LOOPBACK}:{self.ready}",
+            ]
+        self.start(first)
+
+    def start(self, first="no"):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [*self._command, f"--first-start={first}"],
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait(20)
+
+    def ask(self, method, path, body=None, port=None):
+        conn = http.client.HTTPConnection(
+            LOOPBACK, port or self.port, timeout=30
+        )
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        try:
+            conn.request(method, path, raw if body is not None else None)
+            response = conn.getresponse()
+            return response.status, response.read(), response.headers
+        except (OSError, http.client.HTTPException):
+            return 0, b"", {}
+        finally:
+            conn.close()
+
+    @property
+    def is_ready(self):
+        return self.ask("GET", "/", port=self.ready)[0] == 200
+
+
+class Pool:
+    """Three control nodes, two entries and the stand-in workers."""
+
+    def __init__(self, folder):
+        seeds = [free_port() for _ in range(3)]
+        self.controls = [
+            Node("control", f"control-{n}", seeds, folder, peers=seed)
+            for n, seed in enumerate(seeds)
+        ]
+        self.entries = [
+            Node("entry", f"entry-{n}", seeds, folder) for n in range(2)
+        ]
+        places = ",".join(f"{LOOPBACK}:{c.port}" for c in self.controls)
+        self.workers = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "clayfield.testbed.poolworkers",
+                f"--control={places}",
+            ],
+            stdout=subprocess.PIPE,
+        )
+        self.workers.stdout.readline()
+
+    def write(self, routing):
+        """Returns the status of the first control node that takes it."""
+        statuses = [c.ask("PUT", "/v1/routing", routing) for c in self.controls]
+        return [one for one in statuses if one[0] not in (0, 307, 503)]
+
+    def stop(self):
+        for node in (*self.controls, *self.entries):
+            node.process.kill()
+            node.process.wait(20)
+        self.workers.kill()
+        self.workers.wait(20)
+        self.workers.stdout.close()
+
+
+@pytest.fixture(scope="module")
+def pool(tmp_path_factory):
+    running = Pool(tmp_path_factory.mktemp("pool"))
+    try:
+        wait_for(lambda: running.write(ROUTING), "routing taken")
+        for entry in running.entries:
+            wait_for(lambda entry=entry: entry.is_ready, f"{entry.log}")
+        wait_for(
+            lambda: _holds_workers(running), "the holder knows the workers"
+        )
+        yield running
+    finally:
+        running.stop()
+
+
+def _holds_workers(pool):
+    texts = [
+        fetch(f"http://{LOOPBACK}:{entry.metrics}/metrics").decode()
+        for entry in pool.entries
+    ]
+    return any(re.search(HELD_WORKERS, text) for text in texts)
+
+
+def _submit(entry, key, job=JOB):
+    return entry.ask("PUT", f"/v1/queues/fast/jobs/{key}", job)
+
+
+def test_a_job_of_steps_is_answered_by_any_entry(pool):
+    for number, entry in enumerate(pool.entries):
+        status, body, _ = _submit(entry, f"first-{number}")
+        assert (status, json.loads(body)) == (200, {"verdict": "completed"})
+
+
+def test_the_routing_is_read_back_as_it_was_written(pool):
+    reads = [c.ask("GET", "/v1/routing") for c in pool.controls]
+    found = [body for status, body, _ in reads if status == 200]
+    assert [json.loads(body) for body in found] == [ROUTING]
+    moved = [
+        headers["Location"] for status, _, headers in reads if status == 307
+    ]
+    assert all(place.endswith("/v1/routing") for place in moved)
+
+
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"services": []}, "no service"),
+        ({"version": 0}, "version"),
+        ({"queues": [{**ROUTING["queues"][0], "timeout_ms": 0}]}, "timeout_ms"),
+        ({"queues": ROUTING["queues"] * 2}, "stands twice"),
+    ],
+)
+def test_an_invalid_routing_is_refused_with_its_faults(pool, change, word):
+    answers = pool.write({**ROUTING, "version": 9, **change})
+    assert {status for status, _, _ in answers} == {422}
+    assert word in json.loads(answers[0][1])["detail"]
+
+
+@pytest.mark.parametrize(
+    ("job", "status", "code"),
+    [
+        (b"{", 400, "CF101"),
+        ({"spec": "x"}, 422, "CF102"),
+        ({**JOB, "steps": []}, 422, "CF102"),
+        ({**JOB, "steps": [{"count": 1, "after": [0]}]}, 422, "CF102"),
+        ({**JOB, "spec": "x" * 4001}, 413, "CF104"),
+        ({**JOB, "steps": [{"count": 1, "cpu": 99_999}]}, 503, "CF204"),
+    ],
+)
+def test_bad_jobs_get_a_typed_error_with_its_remedy(pool, job, status, code):
+    answer, body, _ = _submit(pool.entries[0], "bad", job)
+    problem = json.loads(body)
+    assert (answer, problem["code"]) == (status, code)
+    assert problem["remedy"]
+
+
+def test_a_log_line_tells_why_a_job_ended(pool):
+    _submit(pool.entries[0], "traced")
+    lines = [
+        json.loads(line)
+        for entry in pool.entries
+        for line in entry.log.read_text().splitlines()
+        if '"traced"' in line
+    ]
+    by_name = {line["name"]: line for line in lines}
+    assert by_name["JOB_ANSWERED"]["verdict"] == "completed"
+    assert by_name["JOB_ENDED"]["starts"] == 4
+
+
+def test_a_stopped_entry_answers_what_is_open_and_is_not_ready(pool):
+    entry = pool.entries[0]
+    conn = http.client.HTTPConnection(LOOPBACK, entry.port, timeout=30)
+    entry.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: not entry.is_ready, "not ready")
+    conn.request("PUT", "/v1/queues/fast/jobs/late", json.dumps(JOB))
+    response = conn.getresponse()
+    assert response.status == 200
+    assert response.headers["Connection"] == "close"
+    conn.close()
+    assert entry.process.wait(20) == 0
+    entry.start()
+    wait_for(lambda: entry.is_ready, "ready again")
+
+
+def test_killed_nodes_are_followed_by_others(pool):
+    pool.entries[1].kill()
+    pool.controls[0].kill()
+    wait_for(lambda: _submit(pool.entries[0], "after-kill")[0] == 200, "served")
+    pool.controls[0].start()
+    pool.entries[1].start()
+    wait_for(lambda: pool.entries[1].is_ready, "ready again")
+    assert _submit(pool.entries[1], "after-return")[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("arguments", "word"),
+    [
+        (["entry"], "--node"),
+        (["control", "--node=a", "--peers=1:1", "--seeds=1:1"], "--operators"),
+        (["entry", "--node=a", "--peers=nothing", "--seeds=1:1"], "--peers"),
+    ],
+)
+def test_bad_settings_end_with_their_faults(arguments, word):
+    done = subprocess.run(
+        [sys.executable, "-m", "clayfield.node.main", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert word in done.stderr
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 from clayfield_platform.operators import PlatformOperators
 from clayfield_platform.workers import PlatformWorkers, read_task
 
-from clayfield.base import ClayfieldError
+from clayfield.base import ClayfieldError, ManualClock
 from clayfield.node.faces import (
     CancelCall,
     CountCall,
@@ -25,8 +25,11 @@
 )
 from clayfield.node.httpclient import CallAnswer, CallEnd
 from clayfield.node.httpserver import HttpRequest
+from clayfield.node.own import OwnCallers, OwnOperators
 from clayfield.pool import (
     EndKind,
+    FleetTiming,
+    HoldAnswer,
     HoldWorker,
     OrderResult,
     Routes,
@@ -34,7 +37,8 @@
     StopRun,
     TaskId,
 )
-from clayfield.wire.cluster import JobEnded
+from clayfield.pool.dispatcher import Dispatcher
+from clayfield.wire.cluster import JobEnded, SubmitJob
 from clayfield.wire.jobs import Reason, Verdict, WorkerState
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -358,3 +362,86 @@
     )
     for path in (ROOT / "packages").glob("*/src/**/*.py"):
         assert not names.search(path.read_text()), path
+
+
+OWN_ROUTING = {
+    "version": 7,
+    "queues": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "timeout_ms": 1500,
+            "target_ms": 60,
+            "priority": 1,
+            "service": "s",
+            "max_attempts": 4,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "s"}],
+}
+OWN_JOB = {
+    "spec": "text",
+    "steps": [{"count": 4, "cpu": 500, "memory_mb": 256, "estimate_ms": 900}],
+}
+OWN_STATEMENT = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "hall": "z",
+    "state": "ready",
+    "sequence": 1,
+    "cpu": 2000,
+    "memory_mb": 32768,
+    "labels": ["a"],
+}
+STATEMENT = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "z",
+    "state": "ready",
+    "seq": 1,
+    "capacity": {"cpu": 2000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a"],
+}
+
+
+def _decisions(callers, operators, config, statement, job, path):
+    """Returns the orders that follow from one job on one worker."""
+    put = _request("PUT", statement[0], statement[1])
+    info = operators.read_call(put).info
+    routes = Routes(operators.read_table(json.dumps(config).encode()))
+    call = callers.read_call(_request("POST", path, job), routes)
+    clock = ManualClock(1000.0)
+    dispatcher = Dispatcher(clock, FleetTiming(), 8)
+    dispatcher.on_worker(info)
+    dispatcher.tick()
+    dispatcher.actions.clear()
+    held = HoldAnswer(OrderResult.DONE, 5000.0)
+    dispatcher.fleet.on_hold_answer(info.name, 8_000_001, 1000.0, held)
+    dispatcher.on_submit("entry/1", SubmitJob(call.job, 0.0, 1))
+    dispatcher.place()
+    return [
+        (type(order).__name__, *(getattr(order, n) for n in order.__slots__))
+        for order in dispatcher.actions
+    ]
+
+
+def test_the_same_job_leads_to_the_same_decisions_by_either_protocol():
+    own = _decisions(
+        OwnCallers(),
+        OwnOperators(),
+        OWN_ROUTING,
+        ("/v1/workers/i-7", OWN_STATEMENT),
+        OWN_JOB,
+        f"/v1/queues/r-1/jobs/{KEY}",
+    )
+    theirs = _decisions(
+        PlatformCallers(),
+        PlatformOperators(),
+        {**CONFIG, "routes": CONFIG["routes"][:1]},
+        ("/-/instances/i-7", STATEMENT),
+        JOB,
+        f"/q/{KEY}",
+    )
+    assert own == theirs
+    assert [order[0] for order in own].count("StartRun") == 4
