Count later steps when admitting; place nothing beside runs of unknown size

Change: all open jobs with all their steps are forecast; expected times are regressed on estimates, by queue (pool.admission, pool.estimates); a worker with a run of unknown size gets nothing new.

--- /dev/null
+++ b/packages/pool/src/clayfield/pool/admission.py
@@ -0,0 +1,117 @@
+"""Whether jobs can be ended within their objectives.
+
+All open jobs are laid on the places of the open workers in the order in which
+they would get them; what remains tells when each would end.
+"""
+
+from collections.abc import Collection, Iterable
+
+from clayfield.pool.estimates import Estimates
+from clayfield.pool.fleet import is_overdue
+from clayfield.pool.forecast import Forecast
+from clayfield.pool.tasks import OpenJob, Run, Task, TaskState
+from clayfield.pool.worker import Worker
+from clayfield.wire.jobs import Job
+
+# What a start and the notice of an end cost beside the task itself.
+OVERHEAD_MS = 4.0
+# A job that has less than this part of its longest chain left is late.
+LATE_SHARE = 0.8
+
+
+class Admission:
+    """Objectives and forecasts of the jobs of one holder."""
+
+    def __init__(self) -> None:
+        self._estimates = Estimates()
+
+    def learn(self, queue: str, estimate_ms: float, took_ms: float) -> None:
+        """Learns how long a task took on a worker of usual speed."""
+        self._estimates.on_end(queue, estimate_ms, took_ms)
+
+    def expected_ms(self, job: Job, task: Task) -> float:
+        """Returns how long a task will likely take."""
+        return self._estimates.expected_ms(job.queue, task.step.estimate_ms)
+
+    def longest_ms(self, job: Job) -> float:
+        """Returns the time of the longest chain of steps."""
+        ends: list[float] = []
+        for step in job.steps:
+            before_ms = max((ends[n] for n in step.after), default=0.0)
+            own_ms = self._estimates.expected_ms(job.queue, step.estimate_ms)
+            ends.append(before_ms + own_ms)
+        return max(ends, default=0.0)
+
+    def objective_ms(self, job: Job) -> float:
+        """Returns within which time a job is to be ended."""
+        return job.stretch * self.longest_ms(job) + job.target_ms
+
+    def order_key(
+        self, opened: OpenJob, now_ms: float
+    ) -> tuple[bool, int, float]:
+        """Returns a job's place in the order; the least goes first."""
+        job = opened.job
+        left_ms = opened.arrived_ms + self.objective_ms(job) - now_ms
+        is_late = left_ms < self.longest_ms(job) * LATE_SHARE
+        return is_late, job.priority, opened.arrived_ms
+
+    def places(
+        self,
+        workers: Iterable[Worker],
+        jobs: Collection[OpenJob],
+        now_ms: float,
+    ) -> Forecast:
+        """Returns when each place of the open workers becomes free."""
+        size = _usual_cpu(jobs)
+        free_ms: list[float] = []
+        for worker in workers:
+            if not worker.is_open(now_ms):
+                continue
+            free_ms += [0.0] * int(worker.free_cpu // size)
+            for run in worker.runs.values():
+                free_ms.append(left_ms(run, now_ms))
+        return Forecast(free_ms)
+
+    def add_to(
+        self, forecast: Forecast, opened: OpenJob, now_ms: float
+    ) -> float:
+        """Lays what is left of a job on the places; returns its end."""
+        ends: list[float] = []
+        for number, step in enumerate(opened.job.steps):
+            ready_ms = max((ends[n] for n in step.after), default=0.0)
+            end_ms = 0.0
+            for task in opened.tasks[number]:
+                task_end_ms = self._task_end_ms(
+                    forecast, opened.job, task, ready_ms, now_ms
+                )
+                end_ms = max(end_ms, task_end_ms)
+            ends.append(end_ms)
+        return max(ends, default=0.0)
+
+    def _task_end_ms(
+        self,
+        forecast: Forecast,
+        job: Job,
+        task: Task,
+        ready_ms: float,
+        now_ms: float,
+    ) -> float:
+        if task.state is TaskState.DONE:
+            return 0.0
+        if task.run is not None:
+            return left_ms(task.run, now_ms)
+        return forecast.add(self.expected_ms(job, task), ready_ms)
+
+
+def _usual_cpu(jobs: Iterable[OpenJob]) -> float:
+    """Returns what a task asks for on average, in thousandths of a core."""
+    sizes = [step.cpu for opened in jobs for step in opened.job.steps]
+    return max(1.0, sum(sizes) / len(sizes)) if sizes else 1.0
+
+
+def left_ms(run: Run, now_ms: float) -> float:
+    """Returns how long a run will likely go on."""
+    passed_ms = now_ms - run.since_ms
+    if is_overdue(run, now_ms):
+        return max(run.expected_ms, passed_ms)
+    return max(0.0, run.expected_ms - passed_ms)
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -1,19 +1,20 @@
 """The holder's decisions: which task runs on which worker, in what order."""
 
+from collections.abc import Iterable
+
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
-from clayfield.pool.estimates import Estimates
+from clayfield.pool.admission import OVERHEAD_MS, Admission
 from clayfield.pool.fleet import (
     Fleet,
     FleetListener,
     FleetTiming,
     RunEnd,
-    is_overdue,
 )
 from clayfield.pool.forecast import Forecast
 from clayfield.pool.orders import EndKind, PoolAction, TellEntry
 from clayfield.pool.placement import choose_worker
-from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
+from clayfield.pool.tasks import OpenJob, Run, RunState, TaskState
 from clayfield.pool.worker import Worker
 from clayfield.wire.cluster import (
     CancelJob,
@@ -23,13 +24,9 @@
 )
 from clayfield.wire.jobs import Job, Reason, Verdict, WorkerInfo
 
-# What a start and the notice of an end cost beside the task itself.
-OVERHEAD_MS = 4.0
 # A job may be refused for free until it has waited for this part of its
 # objective.
 FREE_REFUSAL_SHARE = 0.2
-# Nobody pays for a job that ends later than this many times its objective.
-WORTHLESS_SHARE = 3.0
 # How long the jobs of an earlier holder wait for the workers to be adopted.
 ADOPTION_MS = 1200.0
 # Answers that are kept for callers that ask again.
@@ -55,7 +52,7 @@
         self._queue: dict[str, OpenJob] = {}
         self._unsettled: dict[str, tuple[float, OpenJob]] = {}
         self._answers: dict[str, tuple[float, JobEnded]] = {}
-        self._estimates = Estimates()
+        self._admission = Admission()
         self._is_changed = True
         self._must_ask = False
 
@@ -145,7 +142,7 @@
             return
         took_ms = now_ms - run.answered_ms
         worker.on_success(took_ms, run.expected_ms)
-        self._estimates.on_end(
+        self._admission.learn(
             run.task.job.job.queue,
             run.task.step.estimate_ms,
             took_ms * worker.speed,
@@ -195,7 +192,9 @@
 
     def _claim_runs(self, opened: OpenJob) -> None:
         for task in opened.all_tasks():
-            if self.fleet.claim(task, self._expected_ms(opened.job, task)):
+            if self.fleet.claim(
+                task, self._admission.expected_ms(opened.job, task)
+            ):
                 task.state = TaskState.PLACED
                 opened.is_offered = True
             elif self.fleet.past_end(task.id) is EndKind.DONE:
@@ -206,62 +205,44 @@
 
     # Admission.
 
-    def _expected_ms(self, job: Job, task: Task) -> float:
-        return self._estimates.expected_ms(job.queue, task.step.estimate_ms)
-
-    def _longest_ms(self, job: Job) -> float:
-        """Returns the time of the longest chain of steps."""
-        ends: list[float] = []
-        for step in job.steps:
-            before_ms = max((ends[n] for n in step.after), default=0.0)
-            own_ms = self._estimates.expected_ms(job.queue, step.estimate_ms)
-            ends.append(before_ms + own_ms)
-        return max(ends, default=0.0)
-
-    def _objective_ms(self, job: Job) -> float:
-        return job.stretch * self._longest_ms(job) + job.target_ms
-
-    def _places(self, now_ms: float) -> Forecast:
-        """Returns when each place of the open workers becomes free."""
-        size = self._usual_cpu()
-        free_ms: list[float] = []
-        for worker in self.fleet.workers.values():
-            if not worker.is_open(now_ms):
-                continue
-            free_ms += [0.0] * int(worker.free_cpu // size)
-            for run in worker.runs.values():
-                free_ms.append(_left_ms(run, now_ms))
-        return Forecast(free_ms)
-
-    def _usual_cpu(self) -> float:
-        sizes = [
-            step.cpu
-            for opened in self._jobs.values()
-            for step in opened.job.steps
-        ]
-        return max(1.0, sum(sizes) / len(sizes)) if sizes else 1.0
-
     def _is_admitted(self, opened: OpenJob) -> bool:
         """Tells whether a new job can be ended in time; if not, refuses it."""
-        job = opened.job
-        if not self._could_run(job):
+        if not self._could_run(opened.job):
             self._finish(opened, Verdict.REFUSED, Reason.NO_WORKER)
             return False
         now_ms = self._clock.now_ms()
-        forecast = self._places(now_ms)
+        forecast = self._admission.places(
+            self.fleet.workers.values(), self._jobs.values(), now_ms
+        )
         if not forecast.has_places:
             return True
-        order = self._order_key(opened, now_ms)
-        for other in self._queue.values():
-            if self._order_key(other, now_ms) <= order:
-                self._add_to(forecast, other)
-        end_ms = self._add_to(forecast, opened)
+        order = self._admission.order_key(opened, now_ms)
+        for other in self._jobs.values():
+            is_before = self._admission.order_key(other, now_ms) <= order
+            if other is not opened and is_before:
+                self._admission.add_to(forecast, other, now_ms)
+        return not self._is_refused(opened, forecast, now_ms)
+
+    def _is_refused(
+        self, opened: OpenJob, forecast: Forecast, now_ms: float
+    ) -> bool:
+        """Refuses a job that would end late, while that is free.
+
+        Args:
+            opened: a job of which nothing was started.
+            forecast: the places, with all that goes before it.
+            now_ms: the time.
+        """
+        end_ms = self._admission.add_to(forecast, opened, now_ms)
         age_ms = now_ms - opened.arrived_ms
-        opened.forecast_ms = age_ms + end_ms
-        if age_ms + end_ms + OVERHEAD_MS <= self._objective_ms(job):
-            return True
-        self._refuse(opened, end_ms)
-        return False
+        opened.forecast_ms = age_ms + end_ms + OVERHEAD_MS
+        objective_ms = self._admission.objective_ms(opened.job)
+        is_free = age_ms <= objective_ms * FREE_REFUSAL_SHARE
+        if opened.forecast_ms <= objective_ms or not is_free:
+            return False
+        retry_ms = max(LEAST_RETRY_MS, end_ms)
+        self._finish(opened, Verdict.REFUSED, Reason.TOO_LATE, retry_ms)
+        return True
 
     def _could_run(self, job: Job) -> bool:
         workers = [
@@ -276,49 +257,28 @@
             for step in job.steps
         )
 
-    def _add_to(self, forecast: Forecast, opened: OpenJob) -> float:
-        """Puts a job's waiting tasks on the places; returns its end."""
-        end_ms = 0.0
-        for task in opened.waiting_tasks():
-            expected_ms = self._expected_ms(opened.job, task)
-            end_ms = max(end_ms, forecast.add(1, expected_ms))
-        return end_ms
-
-    def _refuse(self, opened: OpenJob, end_ms: float) -> None:
-        retry_ms = max(LEAST_RETRY_MS, end_ms)
-        self._finish(opened, Verdict.REFUSED, Reason.TOO_LATE, retry_ms)
-
     def _review(self, now_ms: float) -> None:
         """Refuses waiting jobs that will be late, while that is free."""
         if not self._queue:
             return
-        forecast = self._places(now_ms)
+        forecast = self._admission.places(
+            self.fleet.workers.values(), self._jobs.values(), now_ms
+        )
         if not forecast.has_places:
             return
-        for opened in self._in_order(now_ms):
-            end_ms = self._add_to(forecast, opened)
+        for opened in self._in_order(self._jobs.values(), now_ms):
             if opened.is_offered or not opened.is_placeable:
-                continue
-            objective_ms = self._objective_ms(opened.job)
-            age_ms = now_ms - opened.arrived_ms
-            is_late = age_ms + end_ms + OVERHEAD_MS > objective_ms
-            if is_late and age_ms <= objective_ms * FREE_REFUSAL_SHARE:
-                self._refuse(opened, end_ms)
+                self._admission.add_to(forecast, opened, now_ms)
+            else:
+                self._is_refused(opened, forecast, now_ms)
 
     # Placement.
 
-    def _order_key(
-        self, opened: OpenJob, now_ms: float
-    ) -> tuple[bool, int, float]:
-        job = opened.job
-        left_ms = opened.arrived_ms + self._objective_ms(job) - now_ms
-        is_late = left_ms < self._longest_ms(job) * 0.8
-        return is_late, job.priority, opened.arrived_ms
-
-    def _in_order(self, now_ms: float) -> list[OpenJob]:
+    def _in_order(
+        self, jobs: Iterable[OpenJob], now_ms: float
+    ) -> list[OpenJob]:
         return sorted(
-            self._queue.values(),
-            key=lambda opened: self._order_key(opened, now_ms),
+            jobs, key=lambda opened: self._admission.order_key(opened, now_ms)
         )
 
     def place(self) -> None:
@@ -327,7 +287,7 @@
             return
         self._is_changed = False
         now_ms = self._clock.now_ms()
-        for opened in self._in_order(now_ms):
+        for opened in self._in_order(self._queue.values(), now_ms):
             if opened.is_placeable:
                 self._place_job(opened, now_ms)
 
@@ -338,7 +298,7 @@
             if worker is None:
                 is_all_placed = False
                 continue
-            expected_ms = self._expected_ms(opened.job, task)
+            expected_ms = self._admission.expected_ms(opened.job, task)
             self.fleet.start(worker, task, expected_ms)
             task.state = TaskState.PLACED
             opened.is_offered = True
@@ -387,18 +347,10 @@
             verdict=verdict.name.lower(),
             reason=reason.value,
             age_ms=round(self._clock.now_ms() - opened.arrived_ms),
-            objective_ms=round(self._objective_ms(opened.job)),
+            objective_ms=round(self._admission.objective_ms(opened.job)),
             forecast_ms=round(opened.forecast_ms),
             starts=opened.starts,
             workers=sorted(opened.placed_on),
             open_jobs=len(self._jobs),
             fence=self.fleet.fence,
         )
-
-
-def _left_ms(run: Run, now_ms: float) -> float:
-    """Returns how long a run will likely go on."""
-    passed_ms = now_ms - run.since_ms
-    if is_overdue(run, now_ms):
-        return max(run.expected_ms, passed_ms)
-    return max(0.0, run.expected_ms - passed_ms)
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -410,7 +410,7 @@
                     self._end(worker, run, RunEnd.LOST)
 
     def _adopt(self, worker: Worker, row: RunningRow) -> None:
-        """Reserves the whole free room for a run whose size is not known."""
+        """Notes a run whose size is not known; nothing is placed beside it."""
         run = Run(
             row.task_id,
             row.number,
@@ -420,7 +420,6 @@
             self._clock.now_ms(),
         )
         run.answered_ms = run.since_ms
-        run.cpu = max(0, worker.free_cpu)
         worker.reserve(run)
         self.foreign[row.task_id] = run
 
--- a/packages/pool/src/clayfield/pool/forecast.py
+++ b/packages/pool/src/clayfield/pool/forecast.py
@@ -27,15 +27,16 @@
         """Whether there is any place at all."""
         return bool(self._free_ms)
 
-    def add(self, count: int, task_ms: float) -> float:
-        """Puts tasks on the places that are free first.
+    def add(self, task_ms: float, ready_ms: float = 0.0) -> float:
+        """Puts a task on the place that is free first.
+
+        Args:
+            task_ms: how long it takes.
+            ready_ms: in how many ms its turn comes.
 
         Returns:
-            In how many ms the last of them would end.
+            In how many ms it would end.
         """
-        last_ms = 0.0
-        for _ in range(count):
-            end_ms = self._free_ms[0] + task_ms
-            heapq.heapreplace(self._free_ms, end_ms)
-            last_ms = max(last_ms, end_ms)
-        return last_ms
+        end_ms = max(self._free_ms[0], ready_ms) + task_ms
+        heapq.heapreplace(self._free_ms, end_ms)
+        return end_ms
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -181,6 +181,11 @@
         self._paused_until_ms = now_ms + self._pause_ms
         self._pause_ms = min(LONGEST_PAUSE_MS, self._pause_ms * 2)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the size of everything that runs here is known."""
+        return not any(run.is_foreign for run in self.runs.values())
+
     def is_open(self, now_ms: float) -> bool:
         """Tells whether new tasks may be placed here."""
         return (
@@ -189,4 +194,5 @@
             and not self.is_gone
             and not self.is_draining
             and now_ms >= self._paused_until_ms
+            and self.is_known
         )
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -87,17 +87,21 @@
     Attributes:
         info: what it says of itself.
         task_ms: how long a task takes here.
+        spread: by which part of that time tasks differ.
         late_share: share of starts left unanswered and carried out late.
         is_failing: whether every task fails.
         is_hanging: whether tasks stand still.
+        is_guarding: whether it rejects what does not fit.
     """
 
     def __init__(self, site: "PoolSite", info: WorkerInfo, task_ms: float):
         self.info = info
         self.task_ms = task_ms
+        self.spread = 0.0
         self.late_share = 0.0
         self.is_failing = False
         self.is_hanging = False
+        self.is_guarding = True
         self._site = site
         self._fence = 0
         self._lease_until_ms = 0.0
@@ -121,7 +125,9 @@
         if self._highest.get(order.task_id, 0) >= order.number:
             return OrderResult.OLD_RUN
         if len(self._running) * PLACE_CPU + PLACE_CPU > self.info.cpu:
-            return OrderResult.NO_ROOM
+            if self.is_guarding:
+                return OrderResult.NO_ROOM
+            self._site.over_room.append(order.task_id)
         self._begin(order)
         return OrderResult.DONE
 
@@ -132,8 +138,10 @@
         self._highest[order.task_id] = order.number
         self._site.ran.append(ran)
         kind = EndKind.FAILED if self.is_failing else EndKind.DONE
+        spread = self._site.rng.uniform(1 - self.spread, 1 + self.spread)
         if not self.is_hanging:
-            self._site.after(self.task_ms, lambda: self._end(ran, kind))
+            took_ms = self.task_ms * spread
+            self._site.after(took_ms, lambda: self._end(ran, kind))
 
     def _end(self, ran: RanTask, kind: EndKind) -> None:
         if self._running.get(ran.task_id) is not ran:
@@ -219,6 +227,7 @@
         entries: by node.
         workers: by name.
         ran: every run that a worker carried out.
+        over_room: tasks that were started on a full worker.
         ended: by job how it ended for its caller, and when.
     """
 
@@ -226,6 +235,7 @@
         self.clock = ManualClock()
         self.rng = random.Random(seed)
         self.ran: list[RanTask] = []
+        self.over_room: list[TaskId] = []
         self.ended: dict[str, tuple[float, JobEnded]] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.entries: dict[str, Entry] = {}
@@ -306,18 +316,23 @@
             if entry.hall not in self._cut and node not in self._dead:
                 self._deliver(node, "control", self._grant)
 
-    def submit(self, node: str, key: str, count: int = 2) -> None:
-        """Hands a job of one step to an entry."""
+    def submit(
+        self, node: str, key: str, count: int = 2, steps: int = 1
+    ) -> None:
+        """Hands a job to an entry, each step after the one before."""
         self._count += 1
         waiter = self._count
         self._keys[waiter] = key
-        step = Step(count, PLACE_CPU, 64, 0, 60.0)
+        chain = tuple(
+            Step(count, PLACE_CPU, 64, 0, 60.0, (number - 1,) if number else ())
+            for number in range(steps)
+        )
         job = Job(
             key,
             "queue",
             "service",
             "spec",
-            (step,),
+            chain,
             0,
             3,
             1.6,
--- a/packages/testbed/src/clayfield/testbed/poolworkers.py
+++ b/packages/testbed/src/clayfield/testbed/poolworkers.py
@@ -34,6 +34,7 @@
     StartRun,
     StopRun,
 )
+from clayfield.pool.tasks import TaskId
 from clayfield.testbed.poolsite import FakeWorker, RanTask
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
@@ -50,12 +51,14 @@
     Attributes:
         clock: the machine's.
         ran: every run that was carried out.
+        over_room: tasks that were started on a full worker.
         rng: unused by workers that are well.
     """
 
     def __init__(self) -> None:
         self.clock = MonotonicClock()
         self.ran: list[RanTask] = []
+        self.over_room: list[TaskId] = []
         self.rng = random.Random(0)
 
     def after(self, delay_ms: float, act: object) -> None:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,54 @@
+"""Estimates, forecasts and the admission of jobs of steps."""
+
+import random
+
+import pytest
+
+from clayfield.pool.estimates import Estimates
+from clayfield.pool.forecast import Forecast
+from clayfield.testbed.poolsite import PoolSite
+from clayfield.wire.jobs import Verdict
+
+
+def test_estimates_that_tell_little_give_way_to_the_usual_time():
+    rng = random.Random(7)
+    estimates = Estimates()
+    for _ in range(500):
+        true_ms = 100.0 * rng.lognormvariate(0.0, 0.2)
+        said_ms = true_ms * rng.lognormvariate(0.0, 0.4)
+        estimates.on_end("queue", said_ms, true_ms)
+    assert 80 <= estimates.expected_ms("queue", 40.0) <= 100
+    assert 100 <= estimates.expected_ms("queue", 250.0) <= 130
+
+
+def test_estimates_that_are_right_are_kept():
+    rng = random.Random(7)
+    estimates = Estimates()
+    for _ in range(500):
+        true_ms = 100.0 * rng.lognormvariate(0.0, 0.5)
+        estimates.on_end("queue", true_ms / 2, true_ms)
+    assert estimates.expected_ms("queue", 20.0) == pytest.approx(40, rel=0.1)
+    assert estimates.expected_ms("queue", 100.0) == pytest.approx(200, rel=0.1)
+
+
+def test_a_forecast_fills_the_places_that_are_free_first():
+    forecast = Forecast([0.0, 0.0, 50.0])
+    assert forecast.add(100.0) == 100.0
+    assert forecast.add(100.0) == 100.0
+    assert forecast.add(100.0) == 150.0
+    assert forecast.add(10.0, ready_ms=300.0) == 310.0
+
+
+def test_later_steps_count_when_jobs_are_admitted():
+    site = PoolSite(("a",), 2, seed=1)
+    site.grant("a-0/1", {})
+    site.run(200)
+    for number in range(8):
+        site.submit("a-0/1", f"job-{number}", count=4, steps=3)
+    site.run(1000)
+    verdicts = [ended.verdict for _, ended in site.ended.values()]
+    done = verdicts.count(Verdict.COMPLETED)
+    assert done + verdicts.count(Verdict.REFUSED) == 8
+    in_time = [at_ms for at_ms, ended in site.ended.values()]
+    assert done >= 1
+    assert max(in_time) <= 200 + 1.6 * 180 + 60 + 30
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -17,6 +17,12 @@
     return site
 
 
+def _unguard(site):
+    for worker in site.workers.values():
+        worker.is_guarding = False
+        worker.spread = 0.8
+
+
 def _verdicts(site):
     return {key: ended.verdict for key, (_, ended) in site.ended.items()}
 
@@ -64,6 +70,7 @@
 @pytest.mark.parametrize("seed", range(20))
 def test_orders_carried_out_late_never_run_a_task_twice(seed):
     site = _site(seed)
+    _unguard(site)
     for worker in site.workers.values():
         worker.late_share = 0.3
     for number in range(30):
@@ -72,12 +79,14 @@
         site.run(120)
     site.run(5000)
     assert site.runs_together() == []
+    assert site.over_room == []
     assert len(site.ended) == 30
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_a_killed_holder_is_followed_without_a_task_run_twice(seed):
     site = _site(seed)
+    _unguard(site)
     for number in range(20):
         site.submit(f"{HALLS[number % 3]}-1/1", f"job-{number}", count=3)
         site.run(20)
@@ -88,6 +97,7 @@
             site.grant("b-0/1", {"c": "c-0/1"})
     site.run(6000)
     assert site.runs_together() == []
+    assert site.over_room == []
     assert len(site.ended) == 20
     late = [f"job-{number}" for number in range(13, 20)]
     assert all(_verdicts(site)[key] is Verdict.COMPLETED for key in late)
@@ -118,8 +128,10 @@
 @pytest.mark.parametrize("hall", ["b", "c"])
 def test_a_hall_that_was_cut_off_rejoins_without_a_task_run_twice(hall, seed):
     site = _site(seed)
+    _unguard(site)
     keys = _serve_through_a_cut(site, hall, 1500, 10 + 20 * seed)
     assert site.runs_together() == []
+    assert site.over_room == []
     assert set(site.ended) == set(keys)
 
 
