--- a/packages/node/src/clayfield/node/process.py
+++ b/packages/node/src/clayfield/node/process.py
@@ -3,9 +3,11 @@
 import abc
 import gc
 import signal
+import traceback
 from collections.abc import Callable
 
 from twisted.internet import interfaces, reactor
+from twisted.logger import LogEvent, globalLogBeginner
 
 from clayfield.base.events import Event, emit
 
@@ -30,6 +32,9 @@
 
     def run(self) -> None:
         """Runs until stopped."""
+        globalLogBeginner.beginLoggingTo(
+            [_log_failure], redirectStandardIO=False, discardBuffer=True
+        )
         gc.freeze()
         gc.set_threshold(GC_ALLOCATIONS)
         reactor.callWhenRunning(self._begin)
@@ -51,9 +56,16 @@
         if self._is_ended:
             return
         reactor.callLater(TICK_S, self._tick)
-        self.tick()
+        self._contain(self.tick)
         self.kick()
 
+    def _contain(self, act: Callable[[], None]) -> None:
+        """Does something; an unexpected error is logged and goes no further."""
+        try:
+            act()
+        except Exception:
+            emit(Event.INTERNAL, error=traceback.format_exc(limit=-4))
+
     def kick(self) -> None:
         """Has what was decided carried out in this turn of the loop."""
         if not self._is_due:
@@ -62,7 +74,7 @@
 
     def _carry_out(self) -> None:
         self._is_due = False
-        self.carry_out()
+        self._contain(self.carry_out)
 
     def fail(self, reason: str) -> None:
         """Ends the process because it cannot go on."""
@@ -105,5 +117,12 @@
         """Reads the settings again."""
 
 
+def _log_failure(event: LogEvent) -> None:
+    """Passes on errors that twisted has caught."""
+    failure = event.get("log_failure")
+    if failure is not None:
+        emit(Event.INTERNAL, error=failure.getTraceback(elideFrameworkCode=1))
+
+
 def _calling(act: Callable[[], None]) -> Callable[[int, object], None]:
     return lambda number, frame: reactor.callFromThread(act)
