--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -141,7 +141,8 @@
         hard = hard or HardState(0, "")
         self.term = hard.term
         self._vote = hard.vote
-        self._log = log or Log()
+        # An empty log is falsy, also when all of it is in its snapshot.
+        self._log = Log() if log is None else log
         self._machine = machine
         self._clock = clock
         self._rng = rng
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -72,6 +72,22 @@
     assert site.leader().state.version == 4
 
 
+@pytest.mark.parametrize("writes", range(60, 70))
+def test_a_log_that_is_all_snapshot_survives_a_kill_of_all(writes):
+    site = _site()
+    for version in range(1, writes):
+        assert site.write(version, version)
+        site.run(40)
+    site.run(500)
+    for address in site.first:
+        site.kill(address)
+    site.run(1000)
+    for address in site.first:
+        site.start(address)
+    site.run(SETTLE_MS)
+    assert site.leader().state.version == writes - 1
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_a_node_that_is_cut_off_is_not_sure_and_takes_nothing(seed):
     site = _site(seed)
