Leave what the holder may be running to the holder; refuse late in a stop

Ruled out: the rejoin (the second runs began during the cut), late orders. Tests: 9 new cases in test_pool.py failed before.

--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -162,6 +162,10 @@
         is_late = passed_ms > self._cfg.grace_ms - MARGIN_MS
         if not is_late and passed_ms < LINGER_MS:
             return
+        self._entry.is_refusing = True
+        if is_late:
+            self._entry.give_up_all()
+            self.carry_out()
         self._server.close_idle()
         is_free = not self._entry.open_jobs and self._entry.dispatcher is None
         if is_free or is_late:
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -137,6 +137,7 @@
         grant: the latest grant that it knows.
         dispatcher: set while it holds workers.
         is_stopping: whether it is to hold nothing any more.
+        is_refusing: whether it takes no jobs any more.
     """
 
     def __init__(self, node: str, hall: str, clock: Clock, timing: FleetTiming):
@@ -146,6 +147,7 @@
         self.grant = Grant(0, "")
         self.dispatcher: Dispatcher | None = None
         self.is_stopping = False
+        self.is_refusing = False
         self._clock = clock
         self._timing = timing
         self._is_standby = False
@@ -208,7 +210,10 @@
             return
         pending = _Pending(job, waiter, self._clock.now_ms())
         self._pending[job.key] = pending
-        self._hand_over(pending)
+        if self.is_refusing:
+            self._end(pending, Verdict.REFUSED, Reason.STOPPING)
+        else:
+            self._hand_over(pending)
 
     def leave(self, key: str, waiter: int) -> None:
         """Learns that a caller waits no more."""
@@ -399,6 +404,10 @@
         holder = self.holder
         if pending.sent_to == holder or not self.is_holder_reachable:
             return
+        if pending.was_sent and self._uses_standby:
+            # It may run on workers that the stand-by cannot reach. When the
+            # hall is joined with the others again, the holder will tell.
+            return
         submit = SubmitJob(
             pending.job,
             self._clock.now_ms() - pending.arrived_ms,
@@ -467,6 +476,12 @@
             if greeting.role == CONTROL_ROLE:
                 self._actions.append(TellEntry(greeting.node, status))
 
+    def give_up_all(self) -> None:
+        """Answers every caller that still waits: the process ends."""
+        for pending in list(self._pending.values()):
+            verdict = Verdict.ABANDONED if pending.was_sent else Verdict.REFUSED
+            self._end(pending, verdict, Reason.STOPPING)
+
     def begin_stop(self) -> None:
         """Asks for another holder, if it is one; takes no new part."""
         self.is_stopping = True
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -143,3 +143,36 @@
     site.run(200)
     assert _verdicts(site) == {"job": Verdict.COMPLETED}
     assert {ran.worker for ran in site.ran} <= {"worker-b-0", "worker-b-1"}
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_standby_never_runs_what_the_holder_may_be_running(seed):
+    site = _site(seed)
+    for worker in site.workers.values():
+        worker.task_ms = 900.0
+    site.submit("b-1/1", "job", count=6)
+    site.run(100 + 10 * seed)
+    site.cut_off("b")
+    site.run(2000)
+    assert site.runs_together() == []
+    site.heal("b")
+    site.grant(HOLDER, STANDBYS)
+    site.run(4000)
+    assert site.runs_together() == []
+    assert "job" in site.ended
+
+
+def test_a_stopping_entry_refuses_new_jobs_and_answers_all_in_the_end():
+    site = _site()
+    entry = site.entries["c-1/1"]
+    for worker in site.workers.values():
+        worker.task_ms = 3000.0
+    site.submit("c-1/1", "open")
+    site.run(100)
+    entry.begin_stop()
+    entry.is_refusing = True
+    site.submit("c-1/1", "late")
+    assert site.ended["late"][1].verdict is Verdict.REFUSED
+    entry.give_up_all()
+    site.run(50)
+    assert site.ended["open"][1].verdict is Verdict.ABANDONED
