Move tasks off workers that stand still or crawl; learn from sound runs only

Change: a run at 2.2 times its expected time (and 60 ms) is stopped once a task and placed elsewhere after its worker has told that it ended; its worker is set aside, and its speed learnt from the time that has passed; estimates are not learnt from such runs; slow workers' free room is not forecast. Test: test_a_task_that_stands_still_is_moved_and_its_job_ends failed before.

--- a/packages/pool/src/clayfield/pool/admission.py
+++ b/packages/pool/src/clayfield/pool/admission.py
@@ -7,7 +7,6 @@
 from collections.abc import Collection, Iterable
 
 from clayfield.pool.estimates import Estimates
-from clayfield.pool.fleet import is_overdue
 from clayfield.pool.forecast import Forecast
 from clayfield.pool.tasks import OpenJob, Run, Task, TaskState
 from clayfield.pool.worker import Worker
@@ -67,7 +66,8 @@
         for worker in workers:
             if not worker.is_open(now_ms):
                 continue
-            free_ms += [0.0] * int(worker.free_cpu // size)
+            if not worker.is_slow:
+                free_ms += [0.0] * int(worker.free_cpu // size)
             for run in worker.runs.values():
                 free_ms.append(left_ms(run, now_ms))
         return Forecast(free_ms)
@@ -112,6 +112,6 @@
 def left_ms(run: Run, now_ms: float) -> float:
     """Returns how long a run will likely go on."""
     passed_ms = now_ms - run.since_ms
-    if is_overdue(run, now_ms):
+    if run.is_overdue(now_ms):
         return max(run.expected_ms, passed_ms)
     return max(0.0, run.expected_ms - passed_ms)
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -141,7 +141,10 @@
         if end is not RunEnd.DONE or run.answered_ms is None:
             return
         took_ms = now_ms - run.answered_ms
-        worker.on_success(took_ms, run.expected_ms)
+        worker.on_success(took_ms, run.work_ms)
+        if run.is_stuck(now_ms):
+            # It tells of its worker, not of its queue.
+            return
         self._admission.learn(
             run.task.job.job.queue,
             run.task.step.estimate_ms,
@@ -169,6 +172,7 @@
         for opened in list(self._jobs.values()):
             if now_ms >= opened.timeout_at_ms:
                 self._give_up(opened, Reason.TIMED_OUT)
+        self._move_stuck(now_ms)
         self._review(now_ms)
         for key, (answered_ms, _) in list(self._answers.items()):
             if now_ms - answered_ms < KEPT_ANSWERS_MS:
@@ -176,6 +180,24 @@
             del self._answers[key]
         self._is_changed = True
 
+    def _move_stuck(self, now_ms: float) -> None:
+        """Stops runs that stand still or crawl, once a task.
+
+        The task is placed elsewhere when its worker has told that the run
+        ended.
+        """
+        for worker in self.fleet.workers.values():
+            for run in worker.runs.values():
+                is_moved = run.task is None or run.task.was_moved
+                is_under_way = run.state is RunState.RUNNING
+                if is_moved or not is_under_way or not run.is_stuck(now_ms):
+                    continue
+                run.task.was_moved = True
+                run.task.avoided.add(worker.name)
+                passed_ms = now_ms - run.answered_ms
+                worker.on_stuck(passed_ms, run.work_ms, now_ms)
+                self.fleet.stop(run)
+
     def _settle(self, now_ms: float) -> None:
         """Finds what became of jobs that an earlier holder began."""
         if not self._unsettled:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -36,9 +36,6 @@
 # How long the runs that an earlier holder began wait for their jobs.
 ORPHAN_MS = 800.0
 PAST_END_MS = 5000.0
-# How much longer than expected a run may take before it is asked after.
-OVERDUE_SHARE = 1.4
-OVERDUE_MS = 40.0
 PROBE_MS = 120.0
 # Added to a run's number where the worker has seen a later one.
 OLD_RUN_STEP = 1000
@@ -163,14 +160,14 @@
 
     # Orders.
 
-    def start(self, worker: Worker, task: Task, expected_ms: float) -> None:
+    def start(self, worker: Worker, task: Task, work_ms: float) -> None:
         """Starts a task's next run at a worker that has room."""
         now_ms = self._clock.now_ms()
         task.last_run += 1
         run = Run(
             task.id, task.last_run, worker.name, task, RunState.STARTING, now_ms
         )
-        run.expected_ms = expected_ms
+        run.expect(work_ms, worker.speed)
         task.run = run
         worker.reserve(run)
         lease_ms = self._timing.lease_ms
@@ -423,7 +420,7 @@
         worker.reserve(run)
         self.foreign[row.task_id] = run
 
-    def claim(self, task: Task, expected_ms: float) -> bool:
+    def claim(self, task: Task, work_ms: float) -> bool:
         """Gives a run that an earlier holder began to its task.
 
         Returns:
@@ -435,7 +432,7 @@
         worker = self.workers[run.worker]
         worker.release(run)
         run.task = task
-        run.expected_ms = expected_ms
+        run.expect(work_ms, worker.speed)
         run.cpu = task.step.cpu
         run.memory_mb = task.step.memory_mb
         run.gpu = task.step.gpu
@@ -502,7 +499,7 @@
         if wanted_ms is not None and now_ms < wanted_ms:
             return False
         return worker.is_reachable and any(
-            is_overdue(run, now_ms) for run in worker.runs.values()
+            run.is_overdue(now_ms) for run in worker.runs.values()
         )
 
     def _let_lapse(self, worker: Worker) -> None:
@@ -527,14 +524,6 @@
                 self.stop(run)
 
 
-def is_overdue(run: Run, now_ms: float) -> bool:
-    """Tells whether a run takes longer than it should."""
-    if run.answered_ms is None or run.expected_ms <= 0:
-        return False
-    allowed_ms = run.expected_ms * OVERDUE_SHARE + OVERDUE_MS
-    return now_ms - run.answered_ms > allowed_ms
-
-
 def _names(run: Run) -> dict[str, object]:
     """Returns the fields that name a run in the log."""
     return {
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -6,6 +6,15 @@
 
 from clayfield.wire.jobs import Job, Step
 
+# How much longer than expected a run may take before it is asked after.
+OVERDUE_SHARE = 1.4
+OVERDUE_MS = 40.0
+# How much longer before nothing new is placed beside it.
+STUCK_SHARE = 2.2
+STUCK_MS = 60.0
+# Speeds below are not counted on: a worker that stands still must be noticed.
+SLOWEST_EXPECTED = 0.5
+
 
 class TaskId(msgspec.Struct, frozen=True, array_like=True):
     """Names a task: its job, the number of its step and its own in it."""
@@ -48,7 +57,8 @@
         failures: runs that ended by its own or the worker's fault.
         last_run: the number of its latest run.
         run: the run that it is placed in, None otherwise.
-        avoided: workers on which a run of it has failed.
+        avoided: workers on which a run of it has failed or was stuck.
+        was_moved: whether a stuck run of it was stopped once already.
     """
 
     __slots__ = (
@@ -60,6 +70,7 @@
         "run",
         "state",
         "step",
+        "was_moved",
     )
 
     def __init__(self, job: "OpenJob", number: int, index: int, step: Step):
@@ -71,6 +82,7 @@
         self.last_run = job.first_run - 1
         self.run: Run | None = None
         self.avoided: set[str] = set()
+        self.was_moved = False
 
 
 class Run:
@@ -87,7 +99,8 @@
         gpu: reserved for it.
         since_ms: when it was ordered.
         answered_ms: when its start was confirmed.
-        expected_ms: how long it should take.
+        work_ms: how long it should take on a worker of usual speed.
+        expected_ms: how long it should take on its worker.
         stopped_ms: when the worker confirmed its stop, None before.
     """
 
@@ -103,6 +116,7 @@
         "stopped_ms",
         "task",
         "task_id",
+        "work_ms",
         "worker",
     )
 
@@ -123,11 +137,31 @@
         self.since_ms = since_ms
         self.answered_ms: float | None = None
         self.stopped_ms: float | None = None
+        self.work_ms = 0.0
         self.expected_ms = 0.0
         self.cpu = task.step.cpu if task else 0
         self.memory_mb = task.step.memory_mb if task else 0
         self.gpu = task.step.gpu if task else 0
 
+    def expect(self, work_ms: float, speed: float) -> None:
+        """Sets how long it should take on a worker of a speed."""
+        self.work_ms = work_ms
+        self.expected_ms = work_ms / max(speed, SLOWEST_EXPECTED)
+
+    def is_overdue(self, now_ms: float) -> bool:
+        """Tells whether it takes longer than it should."""
+        return self._exceeds(OVERDUE_SHARE, OVERDUE_MS, now_ms)
+
+    def is_stuck(self, now_ms: float) -> bool:
+        """Tells whether it takes so long that its worker must be at fault."""
+        return self._exceeds(STUCK_SHARE, STUCK_MS, now_ms)
+
+    def _exceeds(self, share: float, slack_ms: float, now_ms: float) -> bool:
+        if self.answered_ms is None or self.expected_ms <= 0:
+            return False
+        allowed_ms = self.expected_ms * share + slack_ms
+        return now_ms - self.answered_ms > allowed_ms
+
     @property
     def is_foreign(self) -> bool:
         """Whether an earlier holder began it and its job is not known."""
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -8,8 +8,12 @@
 CLOCK_DRIFT = 0.02
 # What an order may spend on its way and still count from its sending.
 TRANSIT_MS = 60.0
-# Share of a new value in the running mean of a worker's speed.
+# Share of a new value in the running mean of a worker's speed; a run that took
+# much longer than it should says more than one that did not.
 SPEED_WEIGHT = 0.15
+SLOW_WEIGHT = 0.5
+SLOW_PACE = 0.4
+SLOW_SPEED = 0.5
 FASTEST = 3.0
 SLOWEST = 0.1
 # Jobs in a row that failed here before the worker is set aside.
@@ -153,13 +157,34 @@
 
     # Health.
 
-    def on_success(self, took_ms: float, expected_ms: float) -> None:
-        """Learns that a run ended well."""
+    def on_success(self, took_ms: float, work_ms: float) -> None:
+        """Learns that a run ended well.
+
+        Args:
+            took_ms: how long it took here.
+            work_ms: how long it should take on a worker of usual speed.
+        """
         self._failed_jobs.clear()
         self._pause_ms = FIRST_PAUSE_MS
-        if expected_ms > 0 and took_ms > 0:
-            pace = min(FASTEST, max(SLOWEST, expected_ms / took_ms))
-            self.speed += SPEED_WEIGHT * (pace - self.speed)
+        if work_ms <= 0 or took_ms <= 0:
+            return
+        self._learn_pace(work_ms / took_ms)
+
+    def on_stuck(self, passed_ms: float, work_ms: float, now_ms: float) -> None:
+        """Learns that a run takes far too long; it is not over yet."""
+        self._learn_pace(work_ms / passed_ms)
+        self.set_aside(now_ms, "run stuck")
+
+    def _learn_pace(self, pace: float) -> None:
+        pace = min(FASTEST, max(SLOWEST, pace))
+        is_slow = pace < SLOW_PACE * self.speed
+        weight = SLOW_WEIGHT if is_slow else SPEED_WEIGHT
+        self.speed += weight * (pace - self.speed)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether it works at less than half of the usual speed."""
+        return self.speed < SLOW_SPEED
 
     def on_failure(self, job: str, now_ms: float) -> None:
         """Learns that a run failed, by its own fault or the worker's."""
@@ -195,4 +220,5 @@
             and not self.is_draining
             and now_ms >= self._paused_until_ms
             and self.is_known
+            and not any(run.is_stuck(now_ms) for run in self.runs.values())
         )
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -176,3 +176,37 @@
     entry.give_up_all()
     site.run(50)
     assert site.ended["open"][1].verdict is Verdict.ABANDONED
+
+
+def test_a_worker_on_which_tasks_stand_still_gets_nothing_new():
+    site = _site()
+    bad = site.workers["worker-a-0"]
+    bad.is_hanging = True
+    for number in range(40):
+        site.submit("a-0/1", f"job-{number}", count=2)
+        site.run(100)
+    started = [ran for ran in site.ran if ran.worker == bad.info.name]
+    assert len(started) <= 8
+    assert set(_verdicts(site).values()) == {Verdict.COMPLETED}
+    assert site.runs_together() == []
+
+
+def test_a_task_that_stands_still_is_moved_and_its_job_ends():
+    site = _site()
+    for name in ("worker-a-0", "worker-b-1"):
+        site.workers[name].is_hanging = True
+    site.submit("c-1/1", "job", count=6)
+    site.run(600)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+    assert site.runs_together() == []
+
+
+def test_a_worker_that_turns_slow_comes_last():
+    site = _site()
+    slow = site.workers["worker-a-0"]
+    slow.task_ms = 400.0
+    for number in range(40):
+        site.submit("a-0/1", f"job-{number}", count=2)
+        site.run(150)
+    started = [ran for ran in site.ran if ran.worker == slow.info.name]
+    assert len(started) <= 3
