--- a/packages/pool/src/clayfield/pool/admission.py
+++ b/packages/pool/src/clayfield/pool/admission.py
@@ -4,6 +4,7 @@
 they would get them; what remains tells when each would end.
 """
 
+import math
 from collections.abc import Collection, Iterable
 
 from clayfield.pool.estimates import Estimates
@@ -16,6 +17,12 @@
 OVERHEAD_MS = 4.0
 # A job that has less than this part of its longest chain left is late.
 LATE_SHARE = 0.8
+# The margin is moved so that about this part of a queue's jobs ends late.
+WANTED_LATE = 0.05
+MARGIN_STEP = 0.05
+LARGEST_MARGIN = 0.3
+# In how many ms a margin falls to a third where no job says otherwise.
+MARGIN_DECAY_MS = 1200.0
 
 
 class Admission:
@@ -23,23 +30,51 @@
 
     def __init__(self) -> None:
         self._estimates = Estimates()
+        self._margins: dict[str, tuple[float, float]] = {}
 
     def learn(self, queue: str, estimate_ms: float, took_ms: float) -> None:
         """Learns how long a task took on a worker of usual speed."""
         self._estimates.on_end(queue, estimate_ms, took_ms)
 
+    def on_completed(self, opened: OpenJob, now_ms: float) -> None:
+        """Learns whether a job's forecast was good enough.
+
+        Forecasts know nothing of what comes later and goes first. Where jobs
+        of a queue end late, a part of their objective is kept as a margin.
+        """
+        job = opened.job
+        chain_ms = _chain_ms(job, opened.longest_runs_ms)
+        age_ms = now_ms - opened.arrived_ms
+        is_late = age_ms > job.stretch * chain_ms + job.target_ms
+        moved = MARGIN_STEP * (float(is_late) - WANTED_LATE)
+        margin = self._margin(job.queue, now_ms) + moved
+        margin = min(LARGEST_MARGIN, max(0.0, margin))
+        self._margins[job.queue] = (now_ms, margin)
+
+    def _margin(self, queue: str, now_ms: float) -> float:
+        known = self._margins.get(queue)
+        if known is None:
+            return 0.0
+        set_ms, margin = known
+        return margin * math.exp((set_ms - now_ms) / MARGIN_DECAY_MS)
+
+    def allowed_ms(self, job: Job, now_ms: float) -> float:
+        """Returns the latest forecast end with which a job is taken."""
+        margin = self._margin(job.queue, now_ms)
+        least_ms = self.longest_ms(job) + OVERHEAD_MS
+        return max(least_ms, (1.0 - margin) * self.objective_ms(job))
+
     def expected_ms(self, job: Job, task: Task) -> float:
         """Returns how long a task will likely take."""
         return self._estimates.expected_ms(job.queue, task.step.estimate_ms)
 
     def longest_ms(self, job: Job) -> float:
-        """Returns the time of the longest chain of steps."""
-        ends: list[float] = []
-        for step in job.steps:
-            before_ms = max((ends[n] for n in step.after), default=0.0)
-            own_ms = self._estimates.expected_ms(job.queue, step.estimate_ms)
-            ends.append(before_ms + own_ms)
-        return max(ends, default=0.0)
+        """Returns the expected time of the longest chain of steps."""
+        expected = [
+            self._estimates.expected_ms(job.queue, step.estimate_ms)
+            for step in job.steps
+        ]
+        return _chain_ms(job, expected)
 
     def objective_ms(self, job: Job) -> float:
         """Returns within which time a job is to be ended."""
@@ -103,6 +138,15 @@
         return forecast.add(self.expected_ms(job, task), ready_ms)
 
 
+def _chain_ms(job: Job, times_ms: list[float]) -> float:
+    """Returns the time of the longest chain, given that of each step."""
+    ends: list[float] = []
+    for step, own_ms in zip(job.steps, times_ms, strict=True):
+        before_ms = max((ends[n] for n in step.after), default=0.0)
+        ends.append(before_ms + own_ms)
+    return max(ends, default=0.0)
+
+
 def _usual_cpu(jobs: Iterable[OpenJob]) -> float:
     """Returns what a task asks for on average, in thousandths of a core."""
     sizes = [step.cpu for opened in jobs for step in opened.job.steps]
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -117,6 +117,7 @@
         if end is RunEnd.DONE:
             task.state = TaskState.DONE
             if task.job.is_done:
+                self._admission.on_completed(task.job, now_ms)
                 self._finish(task.job, Verdict.COMPLETED, Reason.NONE)
             else:
                 self._queue_again(task.job)
@@ -145,6 +146,7 @@
         if run.is_stuck(now_ms):
             # It tells of its worker, not of its queue.
             return
+        run.task.job.note_run(run.task_id.step, took_ms * worker.speed)
         self._admission.learn(
             run.task.job.job.queue,
             run.task.step.estimate_ms,
@@ -260,7 +262,8 @@
         opened.forecast_ms = age_ms + end_ms + OVERHEAD_MS
         objective_ms = self._admission.objective_ms(opened.job)
         is_free = age_ms <= objective_ms * FREE_REFUSAL_SHARE
-        if opened.forecast_ms <= objective_ms or not is_free:
+        allowed_ms = self._admission.allowed_ms(opened.job, now_ms)
+        if opened.forecast_ms <= allowed_ms or not is_free:
             return False
         retry_ms = max(LEAST_RETRY_MS, end_ms)
         self._finish(opened, Verdict.REFUSED, Reason.TOO_LATE, retry_ms)
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -9,8 +9,10 @@
 # How much longer than expected a run may take before it is asked after.
 OVERDUE_SHARE = 1.4
 OVERDUE_MS = 40.0
-# How much longer before nothing new is placed beside it.
+# How much longer than another task of its step before its worker is at fault,
+# and than expected where none of them has ended yet.
 STUCK_SHARE = 2.2
+STUCK_ALONE_SHARE = 5.0
 STUCK_MS = 60.0
 # Speeds below are not counted on: a worker that stands still must be noticed.
 SLOWEST_EXPECTED = 0.5
@@ -150,17 +152,31 @@
 
     def is_overdue(self, now_ms: float) -> bool:
         """Tells whether it takes longer than it should."""
-        return self._exceeds(OVERDUE_SHARE, OVERDUE_MS, now_ms)
+        return self._exceeds(
+            self.expected_ms, OVERDUE_SHARE, OVERDUE_MS, now_ms
+        )
 
     def is_stuck(self, now_ms: float) -> bool:
-        """Tells whether it takes so long that its worker must be at fault."""
-        return self._exceeds(STUCK_SHARE, STUCK_MS, now_ms)
+        """Tells whether it takes so long that its worker must be at fault.
 
-    def _exceeds(self, share: float, slack_ms: float, now_ms: float) -> bool:
-        if self.answered_ms is None or self.expected_ms <= 0:
+        What other tasks of its step took tells more than the caller's
+        estimate, which may be wrong for the whole job.
+        """
+        if self.task is None:
             return False
-        allowed_ms = self.expected_ms * share + slack_ms
-        return now_ms - self.answered_ms > allowed_ms
+        sibling_ms = self.task.job.longest_runs_ms[self.task_id.step]
+        if sibling_ms:
+            return self._exceeds(sibling_ms, STUCK_SHARE, STUCK_MS, now_ms)
+        return self._exceeds(
+            self.expected_ms, STUCK_ALONE_SHARE, STUCK_MS, now_ms
+        )
+
+    def _exceeds(
+        self, usual_ms: float, share: float, slack_ms: float, now_ms: float
+    ) -> bool:
+        if self.answered_ms is None or usual_ms <= 0:
+            return False
+        return now_ms - self.answered_ms > usual_ms * share + slack_ms
 
     @property
     def is_foreign(self) -> bool:
@@ -181,6 +197,8 @@
         is_placeable: whether its tasks may be started yet.
         is_ended: whether it has been answered.
         forecast_ms: its end from its arrival, as last forecast.
+        longest_runs_ms: by step, the longest of its runs that ended well, at
+            a worker of usual speed.
         starts: how many runs of it were ordered.
         placed_on: the workers that they were ordered from.
     """
@@ -194,6 +212,7 @@
         "is_offered",
         "is_placeable",
         "job",
+        "longest_runs_ms",
         "placed_on",
         "starts",
         "tasks",
@@ -208,6 +227,7 @@
         self.is_placeable = True
         self.is_ended = False
         self.forecast_ms = 0.0
+        self.longest_runs_ms = [0.0] * len(job.steps)
         self.starts = 0
         self.placed_on: set[str] = set()
         self.tasks = [
@@ -220,6 +240,11 @@
         """When its caller stops waiting."""
         return self.arrived_ms + self.job.timeout_ms
 
+    def note_run(self, step: int, took_ms: float) -> None:
+        """Notes how long a run took at a worker of usual speed."""
+        longest = self.longest_runs_ms
+        longest[step] = max(longest[step], took_ms)
+
     def all_tasks(self) -> list[Task]:
         """Returns its tasks."""
         return [task for step in self.tasks for task in step]
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -12,7 +12,7 @@
 # much longer than it should says more than one that did not.
 SPEED_WEIGHT = 0.15
 SLOW_WEIGHT = 0.5
-SLOW_PACE = 0.4
+SLOW_PACE = 0.25
 SLOW_SPEED = 0.5
 FASTEST = 3.0
 SLOWEST = 0.1
