--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -23,6 +23,7 @@
 from clayfield.cli.settings import SETTINGS as COMMAND_LINE
 from clayfield.daemon.settings import SETTINGS, DaemonSettings
 from clayfield.dispatch import read_problem, render_problem
+from clayfield.node.main import SETTINGS as NODE_SETTINGS
 from clayfield.testbed.processes import Cluster
 from clayfield.wire import (
     MAX_FRAME_BYTES,
@@ -246,3 +247,9 @@
         assert not wrong.boxes["h-a"].is_ready
     finally:
         wrong.stop()
+
+
+def test_the_settings_page_lists_every_setting_of_a_node():
+    page = _page("docs/settings.md")
+    for one in NODE_SETTINGS:
+        assert f"| `{one.flag}` | `{one.variable}` |" in page
