Tell a new holder of the workers that only a rejoined hall knows

'Every worker has obeyed' was true of those it knew; jobs of the stand-by ran again elsewhere. Change: with the first job that may have been begun, an entry tells a new holder all workers that it knows; workers whose lives are over are forgotten by every entry, so that none stands in the way.

--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -38,6 +38,7 @@
 from clayfield.wire.messages import Message
 
 CONTROL_ROLE = "control"
+ENTRY_ROLE = "entry"
 STATUS_MS = 200.0
 # A hall counts as cut off when it has heard neither the holder nor a control
 # node elsewhere for so long.
@@ -161,6 +162,7 @@
         self._next_status_ms = 0.0
         self._outside_ms = clock.now_ms()
         self._requests = 0
+        self._told_workers = ("", 0)
 
     # Questions.
 
@@ -188,6 +190,11 @@
             and self.is_holder_reachable
         )
 
+    @property
+    def known_workers(self) -> set[str]:
+        """The names of the workers that this entry has heard of."""
+        return set(self._workers)
+
     @property
     def open_jobs(self) -> int:
         """How many jobs wait for their end here."""
@@ -414,10 +421,24 @@
             self.grant.epoch,
             pending.was_sent,
         )
+        if pending.was_sent and holder != self.node:
+            self._tell_workers(holder)
         pending.sent_to = holder
         pending.was_sent = True
         self._tell_holder(submit)
 
+    def _tell_workers(self, holder: str) -> None:
+        """Tells a holder, once a grant, of all workers known here.
+
+        It may be new and lack those that only this hall's control node has
+        heard of, while a job that comes with this runs on one of them.
+        """
+        told = (holder, self.grant.epoch)
+        if told != self._told_workers:
+            self._told_workers = told
+            infos = tuple(self._workers.values())
+            self._actions.append(TellEntry(holder, WorkersPush(infos)))
+
     def _tell_holder(self, message: Message) -> None:
         holder = self.holder
         if not holder:
@@ -438,6 +459,7 @@
         self._choose_part()
         if self.dispatcher:
             self.dispatcher.tick()
+            self._spread_gone(self.dispatcher)
         for pending in list(self._pending.values()):
             self._tick_pending(pending, now_ms)
         for request, cancel in list(self._cancels.items()):
@@ -451,6 +473,16 @@
             self._next_status_ms = now_ms + STATUS_MS
             self._send_status()
 
+    def _spread_gone(self, dispatcher: Dispatcher) -> None:
+        """Has every entry forget the workers whose lives are over."""
+        for name in dispatcher.fleet.take_gone():
+            self._workers.pop(name, None)
+            for greeting in self._open_nodes.values():
+                if greeting.role == ENTRY_ROLE:
+                    self._actions.append(
+                        TellEntry(greeting.node, WorkerLeft(name))
+                    )
+
     def _tick_pending(self, pending: _Pending, now_ms: float) -> None:
         self._hand_over(pending)
         age_ms = now_ms - pending.arrived_ms
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -102,6 +102,7 @@
         self.workers: dict[str, Worker] = {}
         self.actions: list[PoolAction] = []
         self.foreign: dict[TaskId, Run] = {}
+        self._gone: list[str] = []
         self._past_ends: dict[TaskId, tuple[float, EndKind]] = {}
         self._probe_at_ms: dict[str, float] = {}
         self._began_ms = clock.now_ms()
@@ -124,6 +125,12 @@
             if worker.is_reachable:
                 self._hold(worker, 0)
 
+    def take_gone(self) -> list[str]:
+        """Returns the workers whose lives were over since the last call."""
+        gone = self._gone
+        self._gone = []
+        return gone
+
     def past_end(self, task_id: TaskId) -> EndKind | None:
         """Returns how a run of an earlier holder ended, None if unknown."""
         known = self._past_ends.get(task_id)
@@ -153,6 +160,7 @@
         if worker is None:
             return
         worker.is_gone = True
+        self._gone.append(name)
         emit(Event.WORKER_GONE, worker=name, runs=len(worker.runs))
         self._probe_at_ms.pop(name, None)
         for run in list(worker.runs.values()):
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -91,6 +91,7 @@
         late_share: share of starts left unanswered and carried out late.
         is_failing: whether every task fails.
         is_hanging: whether tasks stand still.
+        is_gone: whether another life answers at its address.
         is_guarding: whether it rejects what does not fit.
     """
 
@@ -101,6 +102,7 @@
         self.late_share = 0.0
         self.is_failing = False
         self.is_hanging = False
+        self.is_gone = False
         self.is_guarding = True
         self._site = site
         self._fence = 0
@@ -174,6 +176,9 @@
         self, order: HoldWorker, answer: Callable[[HoldAnswer], None]
     ) -> None:
         """Renews the lease; answers at an end or after the wait."""
+        if self.is_gone:
+            answer(HoldAnswer(OrderResult.GONE))
+            return
         if order.fence < self._fence:
             answer(HoldAnswer(OrderResult.FENCED))
             return
@@ -374,6 +379,27 @@
         for other in self.entries.values():
             other.on_closed(node)
 
+    def start_anew(self, node: str, hall: str, known_halls: set[str]) -> None:
+        """Starts an entry that hears of the workers of some halls only."""
+        timing = FleetTiming(LEASE_MS, STOP_MS)
+        entry = Entry(node, hall, self.clock, timing)
+        entry.on_config(_table())
+        for name in sorted({one.hall for one in self.entries.values()}):
+            if not self._is_cut(hall, name):
+                entry.on_open(_control_greeting(name))
+        for other in self.entries.values():
+            if not self._is_cut(hall, other.hall):
+                entry.on_open(_entry_greeting(other))
+                other.on_open(_entry_greeting(entry))
+        self.entries[node] = entry
+        infos = tuple(
+            worker.info
+            for worker in self.workers.values()
+            if worker.info.hall in known_halls
+        )
+        entry.on_message("control", WorkersPush(infos))
+        self.after(TICK_MS, lambda: self._tick(node))
+
     def runs_together(self) -> list[tuple[RanTask, RanTask]]:
         """Returns pairs of runs of one task that ran at the same time."""
         by_task: dict[TaskId, list[RanTask]] = {}
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -210,3 +210,33 @@
         site.run(150)
     started = [ran for ran in site.ran if ran.worker == slow.info.name]
     assert len(started) <= 3
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_new_holder_learns_of_workers_that_only_their_hall_knows(seed):
+    site = _site(seed)
+    for worker in site.workers.values():
+        worker.task_ms = 300.0
+    site.cut_off("b")
+    site.run(800)
+    site.kill(HOLDER)
+    site.start_anew("a-0/2", "a", {"a", "c"})
+    site.grant("a-0/2", STANDBYS)
+    site.run(400)
+    for number in range(10):
+        site.submit("b-1/1", f"job-{number}", count=2)
+        site.run(20 + 5 * seed)
+    site.heal("b")
+    site.run(40)
+    site.grant("a-0/2", STANDBYS)
+    site.run(6000)
+    assert site.runs_together() == []
+    assert len(site.ended) == 10
+
+
+def test_a_worker_that_is_gone_is_forgotten_by_every_entry():
+    site = _site()
+    site.workers["worker-c-1"].is_gone = True
+    site.run(1500)
+    for entry in site.entries.values():
+        assert "worker-c-1" not in entry.known_workers
