--- a/packages/testbed/src/clayfield/testbed/controlsite.py
+++ b/packages/testbed/src/clayfield/testbed/controlsite.py
@@ -5,11 +5,8 @@
 lost, and a node can be killed and started again.
 """
 
-import heapq
 import random
-from collections.abc import Callable
 
-from clayfield.base import ManualClock
 from clayfield.cluster import (
     ControlNode,
     Persist,
@@ -22,6 +19,7 @@
 )
 from clayfield.state import Record, replay
 from clayfield.state.membership import box_of, node_name
+from clayfield.testbed.timeline import Timeline
 from clayfield.wire.cluster import EntryStatus, Grant, NodeGreeting
 from clayfield.wire.messages import Message
 
@@ -31,7 +29,7 @@
 PORT = 7000
 
 
-class ControlSite:
+class ControlSite(Timeline):
     """Control nodes, their disks and the links between them.
 
     Attributes:
@@ -43,7 +41,7 @@
     """
 
     def __init__(self, count: int, seed: int):
-        self.clock = ManualClock()
+        super().__init__()
         self.nodes: dict[str, ControlNode] = {}
         self.settled: dict[int, WriteOutcome] = {}
         self.grants: dict[int, Grant] = {}
@@ -55,8 +53,6 @@
         self._cut: set[str] = set()
         self._entries: dict[str, str] = {}
         self._statuses: dict[str, EntryStatus] = {}
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
         self.first = tuple(f"10.0.{n}.1:{PORT}" for n in range(count))
         voters = tuple(node_name(address, 0) for address in self.first)
         for address in self.first:
@@ -65,23 +61,6 @@
         for address in self.first:
             self.start(address)
 
-    # Time.
-
-    def after(self, delay_ms: float, act: Callable[[], None]) -> None:
-        """Has something happen later."""
-        self._count += 1
-        at_ms = self.clock.now_ms() + delay_ms
-        heapq.heappush(self._events, (at_ms, self._count, act))
-
-    def run(self, duration_ms: float) -> None:
-        """Lets time pass."""
-        end_ms = self.clock.now_ms() + duration_ms
-        while self._events and self._events[0][0] <= end_ms:
-            at_ms, _, act = heapq.heappop(self._events)
-            self.clock.set(at_ms)
-            act()
-        self.clock.set(end_ms)
-
     # What tests do.
 
     def start(self, address: str) -> None:
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -6,11 +6,9 @@
 ran twice at the same time.
 """
 
-import heapq
 import random
 from collections.abc import Callable
 
-from clayfield.base import ManualClock
 from clayfield.pool import (
     AnswerCaller,
     AnswerCancel,
@@ -28,6 +26,7 @@
     TaskId,
     TellEntry,
 )
+from clayfield.testbed.timeline import Timeline
 from clayfield.wire.cluster import (
     Grant,
     JobEnded,
@@ -224,7 +223,7 @@
             self._end(ran, EndKind.LAPSED)
 
 
-class PoolSite:
+class PoolSite(Timeline):
     """Entries, workers and the links between them.
 
     Attributes:
@@ -237,17 +236,16 @@
     """
 
     def __init__(self, halls: tuple[str, ...], workers_a_hall: int, seed: int):
-        self.clock = ManualClock()
+        super().__init__()
         self.rng = random.Random(seed)
         self.ran: list[RanTask] = []
         self.over_room: list[TaskId] = []
         self.ended: dict[str, tuple[float, JobEnded]] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.entries: dict[str, Entry] = {}
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
         self._cut: set[str] = set()
         self._keys: dict[int, str] = {}
+        self._waiters = 0
         self._epoch = 0
         self._grant = Grant(0, "")
         self._dead: set[str] = set()
@@ -287,23 +285,6 @@
                     entry.on_open(_entry_greeting(other))
             entry.on_message("control", WorkersPush(infos))
 
-    # Time.
-
-    def after(self, delay_ms: float, act: Callable[[], None]) -> None:
-        """Has something happen later."""
-        self._count += 1
-        at_ms = self.clock.now_ms() + delay_ms
-        heapq.heappush(self._events, (at_ms, self._count, act))
-
-    def run(self, duration_ms: float) -> None:
-        """Lets time pass."""
-        end_ms = self.clock.now_ms() + duration_ms
-        while self._events and self._events[0][0] <= end_ms:
-            at_ms, _, act = heapq.heappop(self._events)
-            self.clock.set(at_ms)
-            act()
-        self.clock.set(end_ms)
-
     def _tick(self, node: str) -> None:
         if node in self._dead:
             return
@@ -325,8 +306,8 @@
         self, node: str, key: str, count: int = 2, steps: int = 1
     ) -> None:
         """Hands a job to an entry, each step after the one before."""
-        self._count += 1
-        waiter = self._count
+        self._waiters += 1
+        waiter = self._waiters
         self._keys[waiter] = key
         chain = tuple(
             Step(count, PLACE_CPU, 64, 0, 60.0, (number - 1,) if number else ())
