--- a/bench/kinds.py
+++ b/bench/kinds.py
@@ -102,6 +102,14 @@
     r"^(\S+)\s+\d+/\d+\s+([\d.]+)\s+(-?[\d.]+)\s+([\d.]+)", re.MULTILINE
 )
 BROKEN = re.compile(r"BROKEN: (.*)$|^FAULT.*$|fault: .*$", re.MULTILINE)
+# Rows of the bench's tables: from second, six counts, worth; a trouble's span.
+WINDOW = re.compile(r"^(\d+)((?:\s+\d+){6})\s+([\d.]+)\s", re.MULTILINE)
+SPAN = re.compile(r"^\s+([\d.]+) s to\s+([\d.]+) s  (\w+)", re.MULTILINE)
+CLOSING_KIND = "closing"
+# A calm day's windows earn 1.0; service is back within a twentieth of that.
+BACK_WORTH = 0.95
+# Jobs sent so long before the final fault may be cut off by it.
+CLOSING_REACH_S = 4.0
 
 
 class Outcome:
@@ -111,16 +119,63 @@
         name: of the day.
         score: as the bench counts it.
         served: share of the worth that was served.
+        lowest: the least worth of a window of 2 s before the final fault.
+        back_s: from the beginning of a trouble until the worth is back, for
+            the slowest of the day's troubles.
         broken: the broken rules, "" for none.
     """
 
-    __slots__ = ("broken", "name", "score", "served")
+    __slots__ = ("back_s", "broken", "lowest", "name", "score", "served")
 
-    def __init__(self, name: str, score: str, served: str, broken: str):
+    def __init__(self, name: str, printed: str):
+        """Reads an outcome from what the bench printed."""
+        verdict = VERDICT.search(printed)
+        broken = BROKEN.search(printed)
         self.name = name
-        self.score = score
-        self.served = served
-        self.broken = broken
+        self.score = verdict.group(2) if verdict else "-"
+        self.served = verdict.group(4) if verdict else "-"
+        self.broken = broken.group(0) if broken else ""
+        self.lowest, self.back_s = _recovery(printed)
+
+    @property
+    def row(self) -> str:
+        """The outcome as a row of a table."""
+        cells = (
+            self.name,
+            self.score,
+            self.served,
+            self.lowest,
+            self.back_s,
+            self.broken,
+        )
+        return "| " + " | ".join(cells) + " |"
+
+
+def _recovery(printed: str) -> tuple[str, str]:
+    """Returns the lowest window and the slowest recovery, as texts."""
+    spans = [(float(a), float(b), kind) for a, b, kind in SPAN.findall(printed)]
+    closing_s = min(
+        (start for start, _, kind in spans if kind == CLOSING_KIND),
+        default=LENGTH_S,
+    )
+    windows = [
+        (float(start_s), float(worth))
+        for start_s, _, worth in WINDOW.findall(printed)
+        if float(start_s) < closing_s - CLOSING_REACH_S
+    ]
+    starts_s = sorted({s for s, _, kind in spans if kind != CLOSING_KIND})
+    slowest_s = 0.0
+    for start_s, next_s in zip(
+        starts_s, [*starts_s[1:], closing_s], strict=True
+    ):
+        low = [
+            window_s + 2.0 - start_s
+            for window_s, worth in windows
+            if start_s - 2.0 < window_s < next_s - 2.0 and worth < BACK_WORTH
+        ]
+        slowest_s = max(slowest_s, max(low, default=0.0))
+    lowest = min((worth for _, worth in windows), default=0.0)
+    return f"{lowest:.2f}", f"{slowest_s:.0f}"
 
 
 def make_days(site: dict, pairs: int, seed: int) -> dict[str, bytes]:
@@ -175,14 +230,7 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     printed = done.stdout + done.stderr
     path.with_suffix(".txt").write_text(printed)
-    found = VERDICT.search(printed)
-    broken = BROKEN.search(printed)
-    return Outcome(
-        path.stem,
-        found.group(2) if found else "-",
-        found.group(4) if found else "-",
-        broken.group(0) if broken else "",
-    )
+    return Outcome(path.stem, printed)
 
 
 def main() -> None:
@@ -209,11 +257,11 @@
         why = f"own day {path.stem}, seed {arguments.seed}"
         return play(arguments.program, arguments.site, path, why)
 
-    print("| day | score | served | broken |\n|---|---|---|---|")
+    print("| day | score | served | lowest 2 s | back after s | broken |")
+    print("|---|---|---|---|---|---|")
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         for outcome in pool.map(play_one, paths):
-            row = (outcome.name, outcome.score, outcome.served, outcome.broken)
-            print("| " + " | ".join(row) + " |", flush=True)
+            print(outcome.row, flush=True)
 
 
 if __name__ == "__main__":
