--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -197,6 +197,27 @@
         "a worker said something new of itself",
         ("worker", "state", "sequence", "hall"),
     )
+    JOB_STORED = _Spec(
+        6011,
+        logbook.INFO,
+        "a kept job is on stable storage and may start",
+        ("job", "queue", "age_ms", "open_jobs", "epoch"),
+    )
+    JOBS_LOADED = _Spec(
+        6012,
+        logbook.INFO,
+        "a new holder heard of the kept jobs",
+        ("epoch", "open_jobs", "ended_jobs"),
+    )
+    AUTHORITY_LOST = _Spec(
+        6013,
+        logbook.WARNING,
+        "no leader answers the holder; it stops kept jobs",
+        ("epoch",),
+    )
+    AUTHORITY_BACK = _Spec(
+        6014, logbook.INFO, "a leader answers the holder again", ("epoch",)
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was contained", ("error",)
     )
--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -17,6 +17,7 @@
     encode_command,
 )
 from clayfield.cluster.holders import HolderChoice
+from clayfield.cluster.ledger import LeaderLedger
 from clayfield.cluster.voters import VoterPolicy
 from clayfield.cluster.workers import WorkerDirectory
 from clayfield.state import (
@@ -24,16 +25,16 @@
     Born,
     Consensus,
     HardState,
+    Ready,
     Record,
     Replayed,
     Timing,
+    encode_members,
 )
-from clayfield.state._members import encode_members
 from clayfield.state.membership import box_of
 from clayfield.wire.cluster import (
     ConfigPush,
     ControlNodes,
-    ControlStatus,
     EntryStatus,
     Grant,
     NodeGreeting,
@@ -41,7 +42,13 @@
     WorkersPush,
 )
 from clayfield.wire.jobs import WorkerInfo
-from clayfield.wire.messages import Grouped, Members, Message
+from clayfield.wire.ledger import LoadJobs, WriteJobs
+from clayfield.wire.messages import (
+    AppendRequest,
+    Grouped,
+    Members,
+    Message,
+)
 
 GROUP = "control"
 ENTRY_ROLE = "entry"
@@ -84,18 +91,28 @@
     def __init__(
         self,
         node: str,
-        hall: str,
         clock: Clock,
         rng: random.Random,
         stored: Replayed,
         voters: VoterPolicy,
         heartbeat_ms: float,
+        keep_ended_ms: float = 120_000.0,
     ):
+        """Starts a node from what its storage holds.
+
+        Args:
+            node: its name.
+            clock: the time.
+            rng: spreads the election times.
+            stored: the term, vote and log that were stored.
+            voters: which nodes should vote.
+            heartbeat_ms: between the statements of a worker.
+            keep_ended_ms: how long it is told how a kept job ended.
+        """
         self.node = node
-        self._hall = hall
         self._clock = clock
         self._voters = voters
-        self.state = ControlState()
+        self.state = ControlState(clock)
         self.consensus = Consensus(
             GROUP,
             node,
@@ -108,6 +125,9 @@
         )
         self.workers = WorkerDirectory(clock, heartbeat_ms)
         self._holders = HolderChoice(clock)
+        self._ledger = LeaderLedger(
+            clock, self.consensus, self.state, keep_ended_ms
+        )
         self._peers: dict[str, str] = {}
         self._addresses: set[str] = set()
         self._actions: list[Action] = []
@@ -182,6 +202,14 @@
                     self.consensus.on_message(source, body)
             case EntryStatus():
                 self._holders.on_status(node, message)
+                if self.is_sure:
+                    self._actions += self._ledger.on_status(node, message)
+            case LoadJobs():
+                if self.is_sure:
+                    self._actions += self._ledger.on_load(node, message)
+            case WriteJobs():
+                if self.is_sure:
+                    self._ledger.on_write(node, message)
             case ControlNodes(addresses=addresses):
                 self.learn_addresses(addresses)
 
@@ -223,18 +251,14 @@
             self._lead()
         else:
             self._holders.on_follow()
+        if not self.consensus.is_leader:
+            self._ledger.on_follow()
         self.workers.forget_silent()
         now_ms = self._clock.now_ms()
         if now_ms >= self._next_status_ms:
             self._next_status_ms = now_ms + STATUS_MS
-            self._tell_status()
-
-    def _tell_status(self) -> None:
-        halls = tuple(sorted({self._hall, *self._peers.values()}))
-        status = ControlStatus(self.consensus.leader, halls)
-        self._actions.append(Publish(status))
-        for entry in self._holders.nodes():
-            self._catch_up(entry)
+            for entry in self._holders.nodes():
+                self._catch_up(entry)
 
     def _catch_up(self, entry: str) -> None:
         """Sends again what an entry does not say it has."""
@@ -253,6 +277,7 @@
         wanted = self._holders.propose(self.state.grant)
         if wanted:
             self.consensus.propose(encode_command(wanted))
+        self._ledger.forget_ended()
 
     # Actions.
 
@@ -262,18 +287,30 @@
         self._settle_writes()
         ready = self.consensus.take_ready()
         if ready:
-            messages = [
-                Grouped(self.node, to, body) for to, body in ready.messages
-            ]
-            self._actions.append(
-                Persist(ready.records, messages, ready.last_index)
-            )
+            self._take_ready(ready)
         actions = self._actions
         self._actions = []
         return actions
 
+    def _take_ready(self, ready: Ready) -> None:
+        """Passes on what consensus wants stored and sent.
+
+        A leader's entries leave at once: it counts itself among those that
+        have them only when its own disk has. All else that is sent vouches
+        for what is stored, and waits for it.
+        """
+        waiting: list[Grouped] = []
+        for to, body in ready.messages:
+            message = Grouped(self.node, to, body)
+            if isinstance(body, AppendRequest):
+                self._send(to, message)
+            else:
+                waiting.append(message)
+        self._actions.append(Persist(ready.records, waiting, ready.last_index))
+
     def _publish_changes(self) -> None:
-        self.consensus.take_results()
+        results = self.consensus.take_results()
+        self._actions += self._ledger.on_applied(results)
         if self.state.version > self._published_version:
             self._published_version = self.state.version
             self._actions.append(Publish(self._config_push()))
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -62,12 +62,12 @@
         node = node_name(place_text(cfg.peers), self._store.made)
         self._control = ControlNode(
             node,
-            cfg.hall,
             self._clock,
             random.Random(),
             self._store.state,
             VoterPolicy(2 * cfg.losses + 1),
             cfg.worker_heartbeat_ms,
+            cfg.keep_ended_ms,
         )
         self._streams = Streams(
             reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -26,6 +26,7 @@
 from clayfield.pool import (
     AnswerCaller,
     AnswerCancel,
+    AnswerState,
     Dial,
     Entry,
     FleetTiming,
@@ -41,6 +42,7 @@
     Grant,
     JobEnded,
     NodeGreeting,
+    StateTold,
 )
 from clayfield.wire.messages import Message
 
@@ -198,8 +200,8 @@
                 self._entry.submit(job, waiter)
             case CancelCall(key=key):
                 self._entry.cancel(key, self._wait(request, key, ""))
-            case StateCall():
-                _reply(request, self._callers.write_unknown_job())
+            case StateCall(key=key):
+                self._entry.ask_state(key, self._wait(request, key, ""))
             case CountCall(queue=queue):
                 waiting = self._entry.waiting_of(queue)
                 _reply(request, self._callers.write_count(waiting))
@@ -244,6 +246,11 @@
         if waiter:
             _reply(waiter.request, self._callers.write_cancelled(is_known))
 
+    def _answer_state(self, number: int, told: StateTold | None) -> None:
+        waiter = self._waiters.pop(number, None)
+        if waiter:
+            _reply(waiter.request, self._callers.write_state(told))
+
     # Streams.
 
     def on_open(self, greeting: NodeGreeting) -> None:
@@ -301,6 +308,8 @@
                     self._answer_job(waiter, ended)
                 case AnswerCancel(waiter=waiter, is_known=is_known):
                     self._answer_cancel(waiter, is_known)
+                case AnswerState(waiter=waiter, told=told):
+                    self._answer_state(waiter, told)
                 case Dial(node=node):
                     self._streams.dial(box_of(node))
 
--- a/packages/node/src/clayfield/node/faces.py
+++ b/packages/node/src/clayfield/node/faces.py
@@ -16,7 +16,7 @@
     StartRun,
     StopRun,
 )
-from clayfield.wire.cluster import JobEnded
+from clayfield.wire.cluster import JobEnded, StateTold
 from clayfield.wire.jobs import Job, RoutingTable, WorkerInfo
 
 
@@ -90,15 +90,19 @@
 
     @abc.abstractmethod
     def write_ended(self, ended: JobEnded) -> HttpReply:
-        """Returns the answer to the caller of a job that ended."""
+        """Returns the answer to the caller of a job."""
 
     @abc.abstractmethod
     def write_cancelled(self, is_known: bool | None) -> HttpReply:
         """Returns the answer to a cancel; None where nobody can tell."""
 
     @abc.abstractmethod
-    def write_unknown_job(self) -> HttpReply:
-        """Returns the answer about a job that is not kept."""
+    def write_state(self, told: StateTold | None) -> HttpReply:
+        """Returns the answer that tells where a kept job stands.
+
+        Args:
+            told: what the holder said, None where nobody can tell.
+        """
 
     @abc.abstractmethod
     def write_count(self, waiting: int) -> HttpReply:
--- a/packages/node/src/clayfield/node/main.py
+++ b/packages/node/src/clayfield/node/main.py
@@ -53,6 +53,12 @@
     Setting("lease_ms", whole_number(100, MAX_MS), "1000", "longest lease"),
     Setting("stop_ms", whole_number(1, MAX_MS), "50", "a stop's longest time"),
     Setting("grace_ms", whole_number(500, MAX_MS), "6000", "of a planned stop"),
+    Setting(
+        "keep_ended_ms",
+        whole_number(1000, MAX_MS),
+        "120000",
+        "how long it is told how a kept job ended",
+    ),
     Setting("log_level", str, "info", "debug, info, warning or error"),
 )
 
--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -17,8 +17,8 @@
 )
 from clayfield.node.httpserver import HttpRequest
 from clayfield.pool import Routes
-from clayfield.wire.cluster import JobEnded
-from clayfield.wire.jobs import Job, Reason, Route, Step, Verdict
+from clayfield.wire.cluster import JobEnded, StateTold
+from clayfield.wire.jobs import Job, JobState, Reason, Route, Step, Verdict
 
 MS_PER_S = 1000.0
 FIRST_RETRY_MS = 1000.0
@@ -26,6 +26,8 @@
 _PATH = re.compile(r"/v1/queues/[^/]+(/jobs/(?P<key>[A-Za-z0-9_-]{1,64}))?/?")
 _KINDS = {
     Reason.TOO_LATE: Kind.QUEUE_FULL,
+    Reason.TOO_MANY: Kind.QUEUE_FULL,
+    Reason.NOT_STORED: Kind.NO_WORKER,
     Reason.NO_WORKER: Kind.NO_WORKER,
     Reason.NO_HOLDER: Kind.NO_WORKER,
     Reason.STOPPING: Kind.STOPPING,
@@ -48,12 +50,17 @@
     spec: str
     steps: list[_Step]
     timeout_ms: float = 0.0
+    keep: bool = False
 
 
 class _Outcome(msgspec.Struct):
     verdict: str
 
 
+class _State(msgspec.Struct):
+    state: JobState
+
+
 class _Count(msgspec.Struct):
     open_jobs: int
 
@@ -90,11 +97,13 @@
             return _problem(exc.kind, exc.problem.detail)
 
     def write_ended(self, ended: JobEnded) -> HttpReply:
-        """Returns the answer to the caller of a job that ended."""
+        """Returns the answer to the caller of a job."""
         match ended.verdict:
             case Verdict.COMPLETED | Verdict.FAILED:
                 outcome = _Outcome(ended.verdict.name.lower())
                 return HttpReply(200, msgspec.json.encode(outcome))
+            case Verdict.ACCEPTED:
+                return HttpReply(202, msgspec.json.encode(_Outcome("accepted")))
             case Verdict.CANCELLED:
                 return _problem(Kind.NOT_FOUND, "The job was cancelled.")
             case Verdict.REFUSED:
@@ -108,9 +117,13 @@
             return _problem(Kind.NO_WORKER, Reason.NO_HOLDER, FIRST_RETRY_MS)
         return HttpReply(200) if is_known else _problem(Kind.NOT_FOUND, "")
 
-    def write_unknown_job(self) -> HttpReply:
-        """Returns the answer about a job that is not kept."""
-        return _problem(Kind.NOT_FOUND, "Jobs are answered once, not kept.")
+    def write_state(self, told: StateTold | None) -> HttpReply:
+        """Returns the answer that tells where a kept job stands."""
+        if told is None or not told.is_sure:
+            return _problem(Kind.NO_WORKER, Reason.NO_HOLDER, FIRST_RETRY_MS)
+        if told.state is None:
+            return _problem(Kind.NOT_FOUND, "No such job is kept.")
+        return HttpReply(200, msgspec.json.encode(_State(told.state)))
 
     def write_count(self, waiting: int) -> HttpReply:
         """Returns the answer that tells how many jobs wait."""
@@ -154,6 +167,7 @@
         route.stretch,
         route.target_ms,
         said.timeout_ms or route.timeout_ms,
+        said.keep,
     )
 
 
--- a/packages/node/src/clayfield/node/settings.py
+++ b/packages/node/src/clayfield/node/settings.py
@@ -23,6 +23,7 @@
         lease_ms: the longest lease that a worker takes.
         stop_ms: how long a stop takes at most.
         grace_ms: how long a planned stop may take.
+        keep_ended_ms: how long it is told how a kept job ended.
         log_level: debug, info, warning or error.
     """
 
@@ -33,6 +34,7 @@
         "grace_ms",
         "hall",
         "is_first_start",
+        "keep_ended_ms",
         "lease_ms",
         "log_level",
         "losses",
@@ -63,6 +65,7 @@
         self.lease_ms = 1000.0
         self.stop_ms = 50.0
         self.grace_ms = 6000.0
+        self.keep_ended_ms = 120_000.0
         self.log_level = "info"
 
 
--- a/packages/pool/src/clayfield/pool/__init__.py
+++ b/packages/pool/src/clayfield/pool/__init__.py
@@ -6,6 +6,7 @@
 from clayfield.pool.entry import (
     AnswerCaller,
     AnswerCancel,
+    AnswerState,
     Dial,
     Entry,
     EntryAction,
@@ -29,6 +30,7 @@
 __all__ = [
     "AnswerCaller",
     "AnswerCancel",
+    "AnswerState",
     "Dial",
     "EndKind",
     "EndedRow",
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -12,9 +12,11 @@
     RunEnd,
 )
 from clayfield.pool.forecast import Forecast
-from clayfield.pool.orders import EndKind, PoolAction, TellEntry
+from clayfield.pool.kept import KeptJobs
+from clayfield.pool.ledger import JobLedger
+from clayfield.pool.orders import EndedRow, EndKind, PoolAction, TellEntry
 from clayfield.pool.placement import choose_worker
-from clayfield.pool.tasks import OpenJob, Run, RunState, TaskState
+from clayfield.pool.tasks import JobTable, OpenJob, Run, RunState, TaskState
 from clayfield.pool.worker import Worker
 from clayfield.wire.cluster import (
     CancelJob,
@@ -23,6 +25,7 @@
     SubmitJob,
 )
 from clayfield.wire.jobs import Job, Reason, Verdict, WorkerInfo
+from clayfield.wire.messages import Message
 
 # A job may be refused for free until it has waited for this part of its
 # objective.
@@ -39,17 +42,43 @@
 
     Attributes:
         fleet: the workers.
+        kept: the kept jobs; None for a stand-by, which runs none.
         is_fenced: whether a worker obeys a higher fence than this holder's.
-        actions: what is to be done; the caller empties it.
     """
 
-    def __init__(self, clock: Clock, timing: FleetTiming, fence: int):
+    def __init__(
+        self,
+        clock: Clock,
+        timing: FleetTiming,
+        fence: int,
+        ledger: JobLedger | None = None,
+        listened_since_ms: float = 0.0,
+    ):
+        """Starts without workers and jobs.
+
+        Args:
+            clock: the time.
+            timing: the times that workers keep.
+            fence: goes with every order.
+            ledger: what is written of kept jobs; None for a stand-by.
+            listened_since_ms: since when this node has heard of workers.
+        """
         self._clock = clock
-        self.fleet = Fleet(clock, timing, self, fence)
+        is_standby = ledger is None
+        self.fleet = Fleet(clock, timing, self, fence, is_standby)
         self.is_fenced = False
-        self.actions: list[PoolAction] = self.fleet.actions
-        self._jobs: dict[str, OpenJob] = {}
-        self._queue: dict[str, OpenJob] = {}
+        self._jobs = JobTable()
+        self.kept: KeptJobs | None = None
+        if ledger:
+            self.kept = KeptJobs(
+                clock,
+                ledger,
+                self.fleet,
+                self._jobs,
+                self._is_admitted,
+                self._finish,
+                listened_since_ms,
+            )
         self._unsettled: dict[str, tuple[float, OpenJob]] = {}
         self._answers: dict[str, tuple[float, JobEnded]] = {}
         self._admission = Admission()
@@ -59,7 +88,20 @@
     @property
     def open_jobs(self) -> int:
         """How many jobs have not ended."""
-        return len(self._jobs)
+        return len(self._jobs.by_key)
+
+    def take_actions(self) -> list[PoolAction]:
+        """Returns what is to be done since the last call."""
+        actions = self.fleet.actions[:]
+        self.fleet.actions.clear()
+        if self.kept:
+            self.kept.ledger.flush()
+            actions += self.kept.ledger.actions
+            self.kept.ledger.actions.clear()
+        return actions
+
+    def _tell(self, entry: str, message: Message) -> None:
+        self.fleet.actions.append(TellEntry(entry, message))
 
     # Events.
 
@@ -71,35 +113,56 @@
     def on_submit(self, entry: str, submit: SubmitJob) -> None:
         """Takes a job of an entry."""
         key = submit.job.key
-        known = self._jobs.get(key)
+        if submit.job.is_kept:
+            self._on_submit_kept(entry, submit)
+            return
+        known = self._jobs.by_key.get(key)
         if known:
             known.entries.add(entry)
             return
         answered = self._answers.get(key)
         if answered and answered[1].verdict is not Verdict.REFUSED:
-            self.actions.append(TellEntry(entry, answered[1]))
+            self._tell(entry, answered[1])
             return
         arrived_ms = self._clock.now_ms() - submit.age_ms
         first_run = 1 + (submit.epoch * 100 if submit.was_sent else 0)
         opened = OpenJob(submit.job, entry, arrived_ms, first_run)
-        self._jobs[key] = opened
+        self._jobs.add(opened)
         if submit.was_sent:
             self._unsettled[key] = (self._clock.now_ms(), opened)
             self._must_ask = True
             opened.is_placeable = False
         elif not self._is_admitted(opened):
             return
-        self._queue[key] = opened
-        self._is_changed = True
+        self._jobs.enqueue(opened)
+
+    def _on_submit_kept(self, entry: str, submit: SubmitJob) -> None:
+        if self.kept:
+            self.kept.on_submit(entry, submit)
+            return
+        refused = JobEnded(
+            submit.job.key, Verdict.REFUSED, Reason.NO_HOLDER, LEAST_RETRY_MS
+        )
+        self._tell(entry, refused)
 
     def on_cancel(self, entry: str, cancel: CancelJob) -> None:
         """Takes the wish to end a job."""
-        opened = self._jobs.get(cancel.key)
-        if opened:
+        opened = self._jobs.by_key.get(cancel.key)
+        if opened and not opened.job.is_kept:
             self._finish(opened, Verdict.CANCELLED, Reason.CANCELLED)
-        if cancel.request:
-            answer = JobCancelled(cancel.request, opened is not None)
-            self.actions.append(TellEntry(entry, answer))
+            if cancel.request:
+                self._tell(entry, JobCancelled(cancel.request, True))
+        elif self.kept:
+            self.kept.on_cancel(entry, cancel)
+        elif cancel.request:
+            self._tell(entry, JobCancelled(cancel.request, None))
+
+    def on_foreign_end(self, row: EndedRow, worker: Worker) -> None:
+        """Learns of the end of a run that an earlier holder began."""
+        if self.kept:
+            self.kept.on_foreign_end(row, worker)
+        else:
+            self.fleet.leave_to_holder(row, worker)
 
     def on_run_end(self, run: Run, end: RunEnd, worker: Worker) -> None:
         """Learns that a run has ended."""
@@ -114,13 +177,16 @@
         task.run = None
         if task.job.is_ended:
             return
+        if task.job.job.is_kept:
+            self.kept.on_run_end(run, end, worker)
+            return
         if end is RunEnd.DONE:
             task.state = TaskState.DONE
             if task.job.is_done:
                 self._admission.on_completed(task.job, now_ms)
                 self._finish(task.job, Verdict.COMPLETED, Reason.NONE)
             else:
-                self._queue_again(task.job)
+                self._jobs.enqueue(task.job)
             return
         if end is RunEnd.FAILED:
             task.failures += 1
@@ -129,10 +195,7 @@
                 self._finish(task.job, Verdict.FAILED, Reason.ATTEMPTS)
                 return
         task.state = TaskState.WAITING
-        self._queue_again(task.job)
-
-    def _queue_again(self, opened: OpenJob) -> None:
-        self._queue[opened.job.key] = opened
+        self._jobs.enqueue(task.job)
 
     def _learn(
         self, run: Run, end: RunEnd, worker: Worker, now_ms: float
@@ -157,10 +220,16 @@
         """Learns that a worker obeys a higher fence."""
         self.is_fenced = True
 
-    def raise_fence(self, fence: int) -> None:
+    def follows(self, epoch: int) -> bool:
+        """Tells whether a grant's epoch is the next after this holder's."""
+        return self.kept is not None and self.kept.ledger.epoch + 1 == epoch
+
+    def raise_fence(self, fence: int, epoch: int) -> None:
         """Goes on under a higher fence of its own."""
         self.fleet.fence = fence
         self.is_fenced = False
+        if self.kept:
+            self.kept.ledger.raise_epoch(epoch)
         for worker in self.fleet.workers.values():
             worker.next_hold_ms = self._clock.now_ms()
 
@@ -169,10 +238,15 @@
     def tick(self) -> None:
         """Lets time act."""
         now_ms = self._clock.now_ms()
+        if self.kept:
+            self.fleet.confirmed_ms = self.kept.ledger.confirmed_ms
         self.fleet.tick()
         self._settle(now_ms)
-        for opened in list(self._jobs.values()):
-            if now_ms >= opened.timeout_at_ms:
+        if self.kept:
+            self.kept.tick()
+        for opened in list(self._jobs.by_key.values()):
+            is_over = now_ms >= opened.timeout_at_ms
+            if is_over and not opened.job.is_kept:
                 self._give_up(opened, Reason.TIMED_OUT)
         self._move_stuck(now_ms)
         self._review(now_ms)
@@ -236,12 +310,12 @@
             return False
         now_ms = self._clock.now_ms()
         forecast = self._admission.places(
-            self.fleet.workers.values(), self._jobs.values(), now_ms
+            self.fleet.workers.values(), self._jobs.by_key.values(), now_ms
         )
         if not forecast.has_places:
             return True
         order = self._admission.order_key(opened, now_ms)
-        for other in self._jobs.values():
+        for other in self._jobs.by_key.values():
             is_before = self._admission.order_key(other, now_ms) <= order
             if other is not opened and is_before:
                 self._admission.add_to(forecast, other, now_ms)
@@ -284,15 +358,16 @@
 
     def _review(self, now_ms: float) -> None:
         """Refuses waiting jobs that will be late, while that is free."""
-        if not self._queue:
+        if not self._jobs.queue:
             return
         forecast = self._admission.places(
-            self.fleet.workers.values(), self._jobs.values(), now_ms
+            self.fleet.workers.values(), self._jobs.by_key.values(), now_ms
         )
         if not forecast.has_places:
             return
-        for opened in self._in_order(self._jobs.values(), now_ms):
-            if opened.is_offered or not opened.is_placeable:
+        for opened in self._in_order(self._jobs.by_key.values(), now_ms):
+            is_taken = opened.is_offered or opened.job.is_kept
+            if is_taken or not opened.is_placeable:
                 self._admission.add_to(forecast, opened, now_ms)
             else:
                 self._is_refused(opened, forecast, now_ms)
@@ -308,14 +383,18 @@
 
     def place(self) -> None:
         """Starts what can be started now."""
-        if not self._is_changed:
+        if not self._is_changed and not self._jobs.is_changed:
             return
         self._is_changed = False
+        self._jobs.is_changed = False
         now_ms = self._clock.now_ms()
-        for opened in self._in_order(self._queue.values(), now_ms):
-            if opened.is_placeable:
+        for opened in self._in_order(self._jobs.queue.values(), now_ms):
+            if opened.is_placeable and self._may_place(opened):
                 self._place_job(opened, now_ms)
 
+    def _may_place(self, opened: OpenJob) -> bool:
+        return not opened.job.is_kept or self.kept.may_place(opened)
+
     def _place_job(self, opened: OpenJob, now_ms: float) -> None:
         is_all_placed = True
         for task in opened.waiting_tasks():
@@ -330,7 +409,7 @@
             opened.starts += 1
             opened.placed_on.add(worker.name)
         if is_all_placed:
-            self._queue.pop(opened.job.key, None)
+            self._jobs.queue.pop(opened.job.key, None)
 
     # Ends.
 
@@ -350,14 +429,14 @@
     ) -> None:
         key = opened.job.key
         opened.is_ended = True
-        self._jobs.pop(key, None)
-        self._queue.pop(key, None)
+        self._jobs.remove(key)
         self._unsettled.pop(key, None)
         self._log_end(opened, verdict, reason)
         ended = JobEnded(key, verdict, reason, retry_after_ms)
-        self._answers[key] = (self._clock.now_ms(), ended)
+        if not opened.job.is_kept:
+            self._answers[key] = (self._clock.now_ms(), ended)
         for entry in opened.entries:
-            self.actions.append(TellEntry(entry, ended))
+            self._tell(entry, ended)
         for task in opened.all_tasks():
             if task.run and task.run.state is not RunState.DOUBTFUL:
                 self.fleet.stop(task.run)
@@ -376,6 +455,6 @@
             forecast_ms=round(opened.forecast_ms),
             starts=opened.starts,
             workers=sorted(opened.placed_on),
-            open_jobs=len(self._jobs),
+            open_jobs=len(self._jobs.by_key),
             fence=self.fleet.fence,
         )
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -8,6 +8,8 @@
 from clayfield.base import Clock
 from clayfield.pool.dispatcher import Dispatcher
 from clayfield.pool.fleet import FleetTiming
+from clayfield.pool.kept import KeptJobs
+from clayfield.pool.ledger import JobLedger
 from clayfield.pool.orders import (
     HoldAnswer,
     OrderAnswer,
@@ -17,6 +19,7 @@
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
 from clayfield.wire.cluster import (
+    AskState,
     CancelJob,
     ConfigPush,
     EntryStatus,
@@ -24,6 +27,8 @@
     JobCancelled,
     JobEnded,
     NodeGreeting,
+    QueueCounts,
+    StateTold,
     SubmitJob,
     WorkerLeft,
     WorkersPush,
@@ -35,6 +40,7 @@
     Verdict,
     WorkerInfo,
 )
+from clayfield.wire.ledger import HolderLease, JobsLoaded, JobsWritten
 from clayfield.wire.messages import Message
 
 CONTROL_ROLE = "control"
@@ -88,6 +94,20 @@
         self.is_known = is_known
 
 
+class AnswerState:
+    """Answer a caller that asks for a kept job.
+
+    Attributes:
+        told: where it stands, None where nobody can tell.
+    """
+
+    __slots__ = ("told", "waiter")
+
+    def __init__(self, waiter: int, told: StateTold | None):
+        self.waiter = waiter
+        self.told = told
+
+
 class Dial:
     """Keep a node connected."""
 
@@ -97,7 +117,7 @@
         self.node = node
 
 
-EntryAction = PoolAction | AnswerCaller | AnswerCancel | Dial
+EntryAction = PoolAction | AnswerCaller | AnswerCancel | AnswerState | Dial
 
 
 class _Pending:
@@ -118,14 +138,15 @@
         self.was_sent = False
 
 
-class _Cancel:
-    """A cancel that waits for the holder's answer."""
+class _Question:
+    """What a caller wants of a job, and the holder has not answered yet."""
 
-    __slots__ = ("since_ms", "waiter")
+    __slots__ = ("is_cancel", "since_ms", "waiter")
 
-    def __init__(self, waiter: int, since_ms: float):
+    def __init__(self, waiter: int, since_ms: float, is_cancel: bool):
         self.waiter = waiter
         self.since_ms = since_ms
+        self.is_cancel = is_cancel
 
 
 class Entry:
@@ -156,11 +177,14 @@
         self._open_nodes: dict[str, NodeGreeting] = {}
         self._workers: dict[str, WorkerInfo] = {}
         self._pending: dict[str, _Pending] = {}
-        self._cancels: dict[int, _Cancel] = {}
+        self._questions: dict[int, _Question] = {}
+        self._waiting_kept: dict[str, int] = {}
+        self._serves_kept = False
         self._early: list[tuple[float, str, SubmitJob]] = []
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
         self._outside_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
         self._requests = 0
         self._told_workers = ("", 0)
 
@@ -201,8 +225,12 @@
         return len(self._pending)
 
     def waiting_of(self, queue: str) -> int:
-        """Returns how many open jobs of a queue this entry has."""
-        return sum(one.job.queue == queue for one in self._pending.values())
+        """Returns how many jobs of a queue wait: kept, or open here."""
+        open_here = sum(
+            one.job.queue == queue and not one.job.is_kept
+            for one in self._pending.values()
+        )
+        return open_here + self._waiting_kept.get(queue, 0)
 
     def _is_isolated(self) -> bool:
         return self._clock.now_ms() - self._outside_ms > ISOLATED_MS
@@ -228,18 +256,37 @@
         if pending is None or waiter not in pending.waiters:
             return
         pending.waiters.remove(waiter)
-        if not pending.waiters:
+        if not pending.waiters and not pending.job.is_kept:
             del self._pending[key]
             self._tell_holder(CancelJob(0, key))
 
     def cancel(self, key: str, waiter: int) -> None:
         """Ends a job, whoever submitted it; `AnswerCancel` tells."""
+        number = self._ask(waiter, is_cancel=True)
+        if number:
+            self._tell_holder(CancelJob(number, key))
+
+    def ask_state(self, key: str, waiter: int) -> None:
+        """Asks where a kept job stands; `AnswerState` tells."""
+        number = self._ask(waiter, is_cancel=False)
+        if number:
+            self._tell_holder(AskState(number, key))
+
+    def _ask(self, waiter: int, is_cancel: bool) -> int:
+        """Notes a question; returns its number, 0 if nobody can be asked."""
+        question = _Question(waiter, self._clock.now_ms(), is_cancel)
         if not self.is_holder_reachable:
-            self._actions.append(AnswerCancel(waiter, None))
-            return
+            self._answer_unknown(question)
+            return 0
         self._requests += 1
-        self._cancels[self._requests] = _Cancel(waiter, self._clock.now_ms())
-        self._tell_holder(CancelJob(self._requests, key))
+        self._questions[self._requests] = question
+        return self._requests
+
+    def _answer_unknown(self, question: _Question) -> None:
+        if question.is_cancel:
+            self._actions.append(AnswerCancel(question.waiter, None))
+        else:
+            self._actions.append(AnswerState(question.waiter, None))
 
     # Nodes.
 
@@ -276,9 +323,30 @@
             case JobEnded():
                 self._on_job_ended(message)
             case JobCancelled(request=request, is_known=is_known):
-                cancel = self._cancels.pop(request, None)
-                if cancel:
-                    self._actions.append(AnswerCancel(cancel.waiter, is_known))
+                asked = self._questions.pop(request, None)
+                if asked:
+                    self._actions.append(AnswerCancel(asked.waiter, is_known))
+            case StateTold(request=request):
+                asked = self._questions.pop(request, None)
+                if asked:
+                    self._actions.append(AnswerState(asked.waiter, message))
+            case QueueCounts(waiting=waiting):
+                self._waiting_kept = waiting
+                self._serves_kept = True
+            case AskState() | HolderLease() | JobsLoaded() | JobsWritten():
+                if self.dispatcher and self.dispatcher.kept:
+                    self._on_kept(self.dispatcher.kept, node, message)
+
+    def _on_kept(self, kept: KeptJobs, node: str, message: Message) -> None:
+        match message:
+            case AskState():
+                kept.on_ask(node, message)
+            case HolderLease():
+                kept.on_lease(node, message)
+            case JobsLoaded():
+                kept.on_loaded(node, message)
+            case JobsWritten():
+                kept.on_written(message)
 
     def on_config(self, table: RoutingTable) -> bool:
         """Puts a configuration in force unless a version as high is."""
@@ -344,14 +412,23 @@
         epoch = self.grant.epoch
         fence = holder_fence(epoch) if is_holder else standby_fence(epoch)
         if self.dispatcher and self._is_standby == is_standby:
-            if self.dispatcher.fleet.fence != fence:
-                self.dispatcher.raise_fence(fence)
-            return
+            if self.dispatcher.fleet.fence == fence:
+                return
+            if is_standby or self.dispatcher.follows(epoch):
+                self.dispatcher.raise_fence(fence, epoch)
+                return
         self._is_standby = is_standby
         self._begin_to_hold(fence)
 
     def _begin_to_hold(self, fence: int) -> None:
-        self.dispatcher = Dispatcher(self._clock, self._timing, fence)
+        ledger: JobLedger | None = None
+        if not self._is_standby:
+            ledger = JobLedger(self._clock, self.grant.epoch)
+        self.dispatcher = Dispatcher(
+            self._clock, self._timing, fence, ledger, self._started_ms
+        )
+        self.dispatcher.fleet.serves_kept = self._serves_kept
+        self._send_status()
         for info in self._workers.values():
             if self._is_held(info):
                 self.dispatcher.on_worker(info)
@@ -411,9 +488,11 @@
         holder = self.holder
         if pending.sent_to == holder or not self.is_holder_reachable:
             return
-        if pending.was_sent and self._uses_standby:
-            # It may run on workers that the stand-by cannot reach. When the
-            # hall is joined with the others again, the holder will tell.
+        is_for_holder = pending.was_sent or pending.job.is_kept
+        if is_for_holder and self._uses_standby:
+            # It may run on workers that the stand-by cannot reach, or be kept,
+            # which takes a majority. When the hall is joined with the others
+            # again, the holder will tell.
             return
         submit = SubmitJob(
             pending.job,
@@ -462,16 +541,17 @@
             self._spread_gone(self.dispatcher)
         for pending in list(self._pending.values()):
             self._tick_pending(pending, now_ms)
-        for request, cancel in list(self._cancels.items()):
-            if now_ms - cancel.since_ms > CANCEL_MS:
-                del self._cancels[request]
-                self._actions.append(AnswerCancel(cancel.waiter, None))
+        for request, question in list(self._questions.items()):
+            if now_ms - question.since_ms > QUESTION_MS:
+                del self._questions[request]
+                self._answer_unknown(question)
         self._early = [
             early for early in self._early if now_ms - early[0] < EARLY_MS
         ]
         if now_ms >= self._next_status_ms:
             self._next_status_ms = now_ms + STATUS_MS
             self._send_status()
+            self._tell_counts()
 
     def _spread_gone(self, dispatcher: Dispatcher) -> None:
         """Has every entry forget the workers whose lives are over."""
@@ -503,11 +583,26 @@
             self.grant.epoch,
             self.is_stopping,
             self._needs_epoch,
+            self._clock.now_ms(),
         )
         for greeting in self._open_nodes.values():
             if greeting.role == CONTROL_ROLE:
                 self._actions.append(TellEntry(greeting.node, status))
 
+    def _tell_counts(self) -> None:
+        """Tells every entry, while this node holds, how many jobs wait."""
+        if self.dispatcher is None or self.dispatcher.kept is None:
+            return
+        if not self.dispatcher.kept.is_used:
+            return
+        waiting = self.dispatcher.kept.waiting()
+        self._waiting_kept = waiting
+        self._serves_kept = True
+        for greeting in self._open_nodes.values():
+            if greeting.role == ENTRY_ROLE:
+                told = QueueCounts(waiting)
+                self._actions.append(TellEntry(greeting.node, told))
+
     def give_up_all(self) -> None:
         """Answers every caller that still waits: the process ends."""
         for pending in list(self._pending.values()):
@@ -555,16 +650,15 @@
 
     def _take_orders(self, dispatcher: Dispatcher) -> None:
         """Passes on what the dispatcher wants done; answers itself at once."""
-        orders = dispatcher.actions[:]
-        dispatcher.actions.clear()
-        for order in orders:
+        for order in dispatcher.take_actions():
             if isinstance(order, TellEntry) and order.node == self.node:
                 self.on_message(self.node, order.message)
             else:
                 self._actions.append(order)
 
 
-CANCEL_MS = 1000.0
+# How long the holder may take to answer a question.
+QUESTION_MS = 1000.0
 # How much longer than the job's own time its entry waits for the holder.
 HOLDER_SLACK_MS = 100.0
 
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -41,6 +41,8 @@
 OLD_RUN_STEP = 1000
 FENCED_PAUSE_MS = 500.0
 CALLS_A_FENCE = 1_000_000
+# Between holds while a worker lists ends that are not stored yet.
+UNSTORED_PAUSE_MS = 10.0
 
 
 class RunEnd(enum.Enum):
@@ -51,6 +53,9 @@
     LOST = "lost"
 
 
+_ENDS = {EndKind.DONE: RunEnd.DONE, EndKind.FAILED: RunEnd.FAILED}
+
+
 class FleetTiming:
     """The times that workers keep.
 
@@ -73,6 +78,10 @@
     def on_run_end(self, run: Run, end: RunEnd, worker: Worker) -> None:
         """Learns that a run has ended and its room is free."""
 
+    @abc.abstractmethod
+    def on_foreign_end(self, row: EndedRow, worker: Worker) -> None:
+        """Learns of the end of a run that an earlier holder began."""
+
     @abc.abstractmethod
     def on_fenced(self, worker: Worker) -> None:
         """Learns that a worker obeys a higher fence."""
@@ -86,6 +95,11 @@
         actions: orders to send; the caller empties it.
         foreign: runs that an earlier holder began, by task.
         fence: goes with every order.
+        timing: the times that workers keep.
+        is_standby: whether another node may claim what an earlier one began.
+        confirmed_ms: until when surely no other node held the workers, and so
+            none renewed a lease. A stand-by never knows.
+        serves_kept: whether kept jobs are in use, as a stand-by was told.
     """
 
     def __init__(
@@ -94,11 +108,15 @@
         timing: FleetTiming,
         listener: FleetListener,
         fence: int,
+        is_standby: bool = False,
     ):
         self._clock = clock
-        self._timing = timing
+        self.timing = timing
         self._listener = listener
         self.fence = fence
+        self.is_standby = is_standby
+        self.serves_kept = False
+        self.confirmed_ms = 0.0
         self.workers: dict[str, Worker] = {}
         self.actions: list[PoolAction] = []
         self.foreign: dict[TaskId, Run] = {}
@@ -145,9 +163,11 @@
             # Calls of an earlier part as holder must not be taken for this
             # one's, so their numbers are kept apart.
             first_call = self.fence * CALLS_A_FENCE
-            self.workers[info.name] = Worker(
-                info, self._clock.now_ms(), first_call
-            )
+            now_ms = self._clock.now_ms()
+            worker = Worker(info, now_ms, first_call)
+            # An earlier holder may have given it a lease just now.
+            worker.on_lease_sent(now_ms, self.timing.lease_ms)
+            self.workers[info.name] = worker
             _log_known(info)
         elif info.sequence >= known.info.sequence:
             if info.state is not known.info.state:
@@ -178,7 +198,7 @@
         run.expect(work_ms, worker.speed)
         task.run = run
         worker.reserve(run)
-        lease_ms = self._timing.lease_ms
+        lease_ms = self.timing.lease_ms
         worker.on_lease_sent(now_ms, lease_ms)
         self.actions.append(
             StartRun(
@@ -214,8 +234,10 @@
 
     def _hold(self, worker: Worker, wait_ms: int) -> None:
         now_ms = self._clock.now_ms()
-        lease_ms = self._timing.lease_ms
-        until_ms = worker.lease_until(now_ms, lease_ms)
+        lease_ms = self.timing.lease_ms
+        until_ms: float | None = None
+        if worker.is_reachable and not worker.is_lease_withheld:
+            until_ms = worker.lease_until(now_ms, lease_ms)
         if until_ms is not None:
             worker.on_lease_sent(now_ms, lease_ms)
         worker.hold_call += 1
@@ -295,7 +317,7 @@
         now_ms = self._clock.now_ms()
         if result in (OrderResult.DONE, OrderResult.OLD_RUN):
             run.stopped_ms = now_ms
-            self._probe_at_ms[worker.name] = now_ms + self._timing.stop_ms + 5.0
+            self._probe_at_ms[worker.name] = now_ms + self.timing.stop_ms + 5.0
         elif result in (OrderResult.LOST, OrderResult.UNREACHED):
             run.since_ms = now_ms
 
@@ -315,10 +337,11 @@
             return
         self._note_answer(worker, answer.clock_ms)
         self._on_reachable(worker)
-        worker.next_hold_ms = now_ms
         for row in answer.ended:
             self._on_ended(worker, row)
         self._on_running(worker, answer.running, sent_ms)
+        is_waiting = worker.has_unstored_ends
+        worker.next_hold_ms = now_ms + UNSTORED_PAUSE_MS * is_waiting
         worker.is_adopted = True
         worker.obeyed_ms = max(worker.obeyed_ms, sent_ms)
         self.renew(worker)
@@ -365,22 +388,32 @@
     # What a worker lists.
 
     def _on_ended(self, worker: Worker, row: EndedRow) -> None:
-        if row.sequence <= worker.seen_upto:
+        if row.sequence <= worker.noted_upto:
             return
-        worker.seen_upto = row.sequence
+        worker.noted_upto = row.sequence
         run = worker.runs.get(row.task_id)
-        if run is None or run.number != row.number:
-            self._note_past_end(row)
-        elif row.kind is EndKind.DONE:
-            self._end(worker, run, RunEnd.DONE)
-        elif row.kind is EndKind.FAILED:
-            self._end(worker, run, RunEnd.FAILED)
-        else:
-            self._end(worker, run, RunEnd.LOST)
+        is_listed = run is not None and run.number == row.number
+        if not is_listed or run.is_foreign:
+            self._note_past_end(worker, row)
+        if is_listed:
+            run.end_sequence = row.sequence
+            self._end(worker, run, _ENDS.get(row.kind, RunEnd.LOST))
+
+    def _note_past_end(self, worker: Worker, row: EndedRow) -> None:
+        if row.kind not in (EndKind.DONE, EndKind.FAILED):
+            return
+        self._past_ends[row.task_id] = (self._clock.now_ms(), row.kind)
+        self._listener.on_foreign_end(row, worker)
 
-    def _note_past_end(self, row: EndedRow) -> None:
-        if row.kind in (EndKind.DONE, EndKind.FAILED):
-            self._past_ends[row.task_id] = (self._clock.now_ms(), row.kind)
+    def on_stored(self, name: str, sequence: int) -> None:
+        """Learns that an end that a worker lists is stored."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        worker.on_stored(sequence)
+        if not worker.has_unstored_ends and not worker.open_hold:
+            worker.next_hold_ms = self._clock.now_ms()
+            self.renew(worker)
 
     def _on_running(
         self, worker: Worker, rows: list[RunningRow], sent_ms: float
@@ -411,7 +444,7 @@
                 settled_ms = run.stopped_ms
                 if settled_ms is None:
                     return
-                if settled_ms + self._timing.stop_ms <= sent_ms:
+                if settled_ms + self.timing.stop_ms <= sent_ms:
                     self._end(worker, run, RunEnd.LOST)
 
     def _adopt(self, worker: Worker, row: RunningRow) -> None:
@@ -427,6 +460,21 @@
         run.answered_ms = run.since_ms
         worker.reserve(run)
         self.foreign[row.task_id] = run
+        if self.is_standby:
+            # The holder may start the task elsewhere once the lease that it
+            # gave has lapsed, so it must not be renewed here.
+            worker.is_lease_withheld = True
+            self.stop(run)
+
+    def leave_to_holder(self, row: EndedRow, worker: Worker) -> None:
+        """Has a worker list an end until the holder takes note of it.
+
+        Where kept jobs are in use, the holder may start the task elsewhere
+        meanwhile, so the lease that it gave must lapse first.
+        """
+        worker.await_storing(row.sequence)
+        if self.serves_kept:
+            worker.foreign_end_ms = self._clock.now_ms()
 
     def claim(self, task: Task, work_ms: float) -> bool:
         """Gives a run that an earlier holder began to its task.
@@ -480,8 +528,10 @@
             if silent_ms > FORGET_MS:
                 self.on_worker_left(worker.name)
                 return
-            if now_ms > worker.lease_ends_ms:
+            if worker.lease_ends_ms < min(now_ms, self.confirmed_ms):
                 self._let_lapse(worker)
+        if self.is_standby and worker.is_known:
+            worker.withhold_lease(worker.foreign_end_ms, now_ms)
         self._stop_again(worker, now_ms)
         if self._is_probe_due(worker, now_ms):
             self._probe_at_ms[worker.name] = now_ms + PROBE_MS
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from clayfield.wire.jobs import Job, Step
+from clayfield.wire.jobs import Job, JobState, Step
 
 # How much longer than expected a run may take before it is asked after.
 OVERDUE_SHARE = 1.4
@@ -104,11 +104,13 @@
         work_ms: how long it should take on a worker of usual speed.
         expected_ms: how long it should take on its worker.
         stopped_ms: when the worker confirmed its stop, None before.
+        end_sequence: by which the worker numbers its end, 0 before.
     """
 
     __slots__ = (
         "answered_ms",
         "cpu",
+        "end_sequence",
         "expected_ms",
         "gpu",
         "memory_mb",
@@ -139,6 +141,7 @@
         self.since_ms = since_ms
         self.answered_ms: float | None = None
         self.stopped_ms: float | None = None
+        self.end_sequence = 0
         self.work_ms = 0.0
         self.expected_ms = 0.0
         self.cpu = task.step.cpu if task else 0
@@ -195,6 +198,10 @@
         tasks: its tasks by step.
         is_offered: whether any task of it was given to a worker.
         is_placeable: whether its tasks may be started yet.
+        is_stored: whether it is kept and on stable storage.
+        outcome: how a kept job will have ended once that is stored, None
+            while it goes on.
+        unstored_ends: how many ends of its runs are not stored yet.
         is_ended: whether it has been answered.
         forecast_ms: its end from its arrival, as last forecast.
         longest_runs_ms: by step, the longest of its runs that ended well, at
@@ -211,11 +218,14 @@
         "is_ended",
         "is_offered",
         "is_placeable",
+        "is_stored",
         "job",
         "longest_runs_ms",
+        "outcome",
         "placed_on",
         "starts",
         "tasks",
+        "unstored_ends",
     )
 
     def __init__(self, job: Job, entry: str, arrived_ms: float, first_run: int):
@@ -225,6 +235,9 @@
         self.first_run = first_run
         self.is_offered = False
         self.is_placeable = True
+        self.is_stored = False
+        self.outcome: JobState | None = None
+        self.unstored_ends = 0
         self.is_ended = False
         self.forecast_ms = 0.0
         self.longest_runs_ms = [0.0] * len(job.steps)
@@ -269,3 +282,38 @@
                     if task.state is TaskState.WAITING
                 ]
         return ready
+
+
+class JobTable:
+    """The jobs that have not ended.
+
+    Attributes:
+        by_key: all of them.
+        queue: those of which a task may wait for a worker.
+        is_changed: whether a job was enqueued since this was last cleared.
+    """
+
+    __slots__ = ("by_key", "is_changed", "queue")
+
+    def __init__(self) -> None:
+        self.by_key: dict[str, OpenJob] = {}
+        self.queue: dict[str, OpenJob] = {}
+        self.is_changed = False
+
+    def add(self, opened: OpenJob) -> None:
+        """Takes a job; its tasks are not placed yet."""
+        self.by_key[opened.job.key] = opened
+
+    def enqueue(self, opened: OpenJob) -> None:
+        """Has the waiting tasks of a job placed."""
+        self.queue[opened.job.key] = opened
+        self.is_changed = True
+
+    def remove(self, key: str) -> None:
+        """Drops a job."""
+        self.by_key.pop(key, None)
+        self.queue.pop(key, None)
+
+    def kept(self) -> list[OpenJob]:
+        """Returns the kept jobs."""
+        return [one for one in self.by_key.values() if one.job.is_kept]
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -28,7 +28,9 @@
     Attributes:
         info: what it said of itself.
         runs: what is reserved there, by task.
-        seen_upto: the number of the latest end taken note of.
+        noted_upto: the number of the latest end that was listed.
+        is_lease_withheld: whether its lease is let lapse, since nobody may
+            vouch for what runs there.
         is_adopted: whether it has obeyed this holder yet.
         is_gone: whether this life is surely over.
         is_reachable: whether the latest hold was answered.
@@ -37,6 +39,9 @@
         next_hold_ms: when to hold again.
         lease_ends_ms: when, on the holder's clock, all that it was told to
             run has surely lapsed.
+        foreign_end_ms: when it last listed an end that another holder is to
+            take note of, as a stand-by sees it.
+        lapsed_ms: when its lease was last known to have lapsed.
         answered_ms: when it last answered anything.
         obeyed_ms: when the latest hold was sent that it obeyed.
         speed: how fast it works against what was expected.
@@ -50,18 +55,22 @@
         "_free_memory_mb",
         "_pause_ms",
         "_paused_until_ms",
+        "_unstored_ends",
         "answered_ms",
+        "foreign_end_ms",
         "hold_call",
         "info",
         "is_adopted",
         "is_gone",
+        "is_lease_withheld",
         "is_reachable",
+        "lapsed_ms",
         "lease_ends_ms",
         "next_hold_ms",
+        "noted_upto",
         "obeyed_ms",
         "open_hold",
         "runs",
-        "seen_upto",
         "speed",
         "unreachable_since_ms",
     )
@@ -69,7 +78,11 @@
     def __init__(self, info: WorkerInfo, now_ms: float, first_call: int = 0):
         self.info = info
         self.runs: dict[TaskId, Run] = {}
-        self.seen_upto = 0
+        self.noted_upto = 0
+        self._unstored_ends: set[int] = set()
+        self.is_lease_withheld = False
+        self.lapsed_ms = 0.0
+        self.foreign_end_ms = 0.0
         self.is_adopted = False
         self.is_gone = False
         self.is_reachable = True
@@ -138,6 +151,28 @@
         self._free_memory_mb += sign * run.memory_mb
         self._free_gpu += sign * run.gpu
 
+    # Ends.
+
+    @property
+    def seen_upto(self) -> int:
+        """The number of the latest end that the worker may forget."""
+        if not self._unstored_ends:
+            return self.noted_upto
+        return min(self._unstored_ends) - 1
+
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Whether it must list ends again until they are stored."""
+        return bool(self._unstored_ends)
+
+    def await_storing(self, sequence: int) -> None:
+        """Has the worker go on listing an end that is not stored yet."""
+        self._unstored_ends.add(sequence)
+
+    def on_stored(self, sequence: int) -> None:
+        """Learns that an end is stored."""
+        self._unstored_ends.discard(sequence)
+
     # Clock and lease.
 
     def on_clock(self, clock_ms: float, now_ms: float) -> None:
@@ -155,6 +190,16 @@
         ends_ms = now_ms + lease_ms * (1 + CLOCK_DRIFT) + TRANSIT_MS
         self.lease_ends_ms = max(self.lease_ends_ms, ends_ms)
 
+    def withhold_lease(self, since_ms: float, now_ms: float) -> None:
+        """Lets its lease lapse once after a time, then renews it again.
+
+        What it lists as ended can then be started elsewhere: an end that is
+        taken note of only after the lease has lapsed does not count.
+        """
+        if self.is_lease_withheld and now_ms > self.lease_ends_ms:
+            self.lapsed_ms = now_ms
+        self.is_lease_withheld = self.lapsed_ms < since_ms
+
     # Health.
 
     def on_success(self, took_ms: float, work_ms: float) -> None:
@@ -218,6 +263,7 @@
             and self.is_reachable
             and not self.is_gone
             and not self.is_draining
+            and not self.is_lease_withheld
             and now_ms >= self._paused_until_ms
             and self.is_known
             and not any(run.is_stuck(now_ms) for run in self.runs.values())
--- a/packages/state/src/clayfield/state/__init__.py
+++ b/packages/state/src/clayfield/state/__init__.py
@@ -1,5 +1,6 @@
 """State that boxes share: consensus, claims and the configuration log."""
 
+from clayfield.state._members import encode_members
 from clayfield.state.claims import (
     Advance,
     ClaimTable,
@@ -40,6 +41,7 @@
     "Snapshot",
     "Timing",
     "encode_commands",
+    "encode_members",
     "hall_replicas",
     "home_hall",
     "owned_key",
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -42,6 +42,9 @@
 
 MAX_APPEND_BYTES = 512 * 1024
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
+# A snapshot is taken only when the entries are this many times as large as the
+# latest one, so that large states are not written again and again.
+SNAPSHOT_RATIO = 4
 # A lease is held for this part of the election time, the rest is margin for
 # clocks that run at different rates.
 LEASE_SHARE = 0.8
@@ -559,13 +562,20 @@
             if entry.kind == ENTRY_COMMAND:
                 result = self._machine.apply(entry.data)
                 self._results.append((self._applied, entry.term, result))
-        if len(self._log) > self._timing.compact_entries:
+        if self._is_compaction_due():
             self._compact()
         if self.is_leader and not self.is_voter:
             self._become_follower(self.term, "")
 
     # Snapshots.
 
+    def _is_compaction_due(self) -> bool:
+        if len(self._log) <= self._timing.compact_entries:
+            return False
+        snapshot = self._log.snapshot
+        least = SNAPSHOT_RATIO * len(snapshot.data) if snapshot else 0
+        return self._log.size >= least
+
     def _compact(self) -> None:
         members = self._members_at_applied()
         if members is None:
--- a/packages/state/src/clayfield/state/log.py
+++ b/packages/state/src/clayfield/state/log.py
@@ -19,13 +19,15 @@
 
     Attributes:
         snapshot: the latest snapshot, or None.
+        size: bytes of data in the entries that are held.
     """
 
-    __slots__ = ("_entries", "snapshot")
+    __slots__ = ("_entries", "size", "snapshot")
 
     def __init__(self) -> None:
         self._entries: list[LogEntry] = []
         self.snapshot: Snapshot | None = None
+        self.size = 0
 
     @property
     def first_index(self) -> int:
@@ -81,8 +83,10 @@
     def put(self, index: int, entry: LogEntry) -> None:
         """Sets the entry at `index` and drops all behind it."""
         position = index - self.first_index
+        self.size -= _size_of(self._entries[position:])
         del self._entries[position:]
         self._entries.append(entry)
+        self.size += len(entry.data)
 
     def compact(self, snapshot: Snapshot) -> None:
         """Takes a snapshot and drops the entries that it covers."""
@@ -91,6 +95,7 @@
             del self._entries[:keep]
         else:
             self._entries.clear()
+        self.size = _size_of(self._entries)
         self.snapshot = snapshot
 
     def members(self) -> tuple[int, Members] | None:
@@ -104,6 +109,10 @@
         return None
 
 
+def _size_of(entries: list[LogEntry]) -> int:
+    return sum(len(entry.data) for entry in entries)
+
+
 class Replayed:
     """What records left behind.
 
--- a/packages/testbed/src/clayfield/testbed/controlsite.py
+++ b/packages/testbed/src/clayfield/testbed/controlsite.py
@@ -71,7 +71,6 @@
             self._stores[address] = self._stores_made
         node = ControlNode(
             node_name(address, self._stores[address]),
-            f"hall-{address}",
             self.clock,
             random.Random(self._rng.random()),
             replay(self._disks[address]),
--- /dev/null
+++ b/packages/testbed/src/clayfield/testbed/fakeworker.py
@@ -0,0 +1,231 @@
+"""A worker of a pool that keeps the promises of its protocol, for tests.
+
+It can fail, stand still, leave orders unanswered and carry them out late. What
+it ran is recorded at its site.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from clayfield.base import Clock
+from clayfield.pool import (
+    EndedRow,
+    EndKind,
+    HoldAnswer,
+    HoldWorker,
+    OrderResult,
+    RunningRow,
+    StartRun,
+    StopRun,
+    TaskId,
+)
+from clayfield.wire.jobs import WorkerInfo
+
+LEASE_MS = 1000.0
+STOP_MS = 50.0
+PLACE_CPU = 6800
+
+
+class WorkerSite(Protocol):
+    """Where a worker stands, and what is recorded there.
+
+    Attributes:
+        clock: the worker's.
+        rng: spreads how long tasks take.
+        ran: every run that was carried out.
+        over_room: tasks that were started on a full worker.
+    """
+
+    clock: Clock
+    rng: random.Random
+    ran: list["RanTask"]
+    over_room: list[TaskId]
+
+    def after(self, delay_ms: float, act: Callable[[], None]) -> None:
+        """Has something happen later."""
+
+
+class RanTask:
+    """A run that a worker carried out.
+
+    Attributes:
+        task_id: the task.
+        number: of the run.
+        worker: where.
+        start_ms: when it began.
+        end_ms: when it ended, None while it runs.
+        kind: how it ended.
+        is_noted: whether the worker was told to forget its end, and its lease
+            had not lapsed before.
+    """
+
+    __slots__ = (
+        "end_ms",
+        "is_noted",
+        "kind",
+        "number",
+        "start_ms",
+        "task_id",
+        "worker",
+    )
+
+    def __init__(
+        self, task_id: TaskId, number: int, worker: str, start_ms: float
+    ):
+        self.task_id = task_id
+        self.number = number
+        self.worker = worker
+        self.start_ms = start_ms
+        self.end_ms: float | None = None
+        self.kind: EndKind | None = None
+        self.is_noted = False
+
+
+class FakeWorker:
+    """A worker that keeps the promises of its protocol.
+
+    Attributes:
+        info: what it says of itself.
+        task_ms: how long a task takes here.
+        spread: by which part of that time tasks differ.
+        late_share: share of starts left unanswered and carried out late.
+        is_failing: whether every task fails.
+        is_hanging: whether tasks stand still.
+        is_gone: whether another life answers at its address.
+        is_guarding: whether it rejects what does not fit.
+    """
+
+    def __init__(self, site: WorkerSite, info: WorkerInfo, task_ms: float):
+        self.info = info
+        self.task_ms = task_ms
+        self.spread = 0.0
+        self.late_share = 0.0
+        self.is_failing = False
+        self.is_hanging = False
+        self.is_gone = False
+        self.is_guarding = True
+        self._site = site
+        self._fence = 0
+        self._lease_until_ms = 0.0
+        self._running: dict[TaskId, RanTask] = {}
+        self._highest: dict[TaskId, int] = {}
+        self._ended: list[EndedRow] = []
+        self._unnoted: dict[int, RanTask] = {}
+        self._sequence = 0
+        self._waiting: list[Callable[[], None]] = []
+
+    def start(self, order: StartRun) -> OrderResult:
+        """Starts a run, unless something speaks against it."""
+        if order.fence < self._fence:
+            return OrderResult.FENCED
+        self._fence = order.fence
+        if order.lease_until_ms <= self._site.clock.now_ms():
+            return OrderResult.TOO_LATE
+        self._renew(order.lease_until_ms)
+        running = self._running.get(order.task_id)
+        if running and running.number == order.number:
+            return OrderResult.DONE
+        if self._highest.get(order.task_id, 0) >= order.number:
+            return OrderResult.OLD_RUN
+        if len(self._running) * PLACE_CPU + PLACE_CPU > self.info.cpu:
+            if self.is_guarding:
+                return OrderResult.NO_ROOM
+            self._site.over_room.append(order.task_id)
+        self._begin(order)
+        return OrderResult.DONE
+
+    def _begin(self, order: StartRun) -> None:
+        now_ms = self._site.clock.now_ms()
+        ran = RanTask(order.task_id, order.number, self.info.name, now_ms)
+        self._running[order.task_id] = ran
+        self._highest[order.task_id] = order.number
+        self._site.ran.append(ran)
+        kind = EndKind.FAILED if self.is_failing else EndKind.DONE
+        spread = self._site.rng.uniform(1 - self.spread, 1 + self.spread)
+        if not self.is_hanging:
+            took_ms = self.task_ms * spread
+            self._site.after(took_ms, lambda: self._end(ran, kind))
+
+    def _end(self, ran: RanTask, kind: EndKind) -> None:
+        if self._running.get(ran.task_id) is not ran:
+            return
+        del self._running[ran.task_id]
+        ran.end_ms = self._site.clock.now_ms()
+        ran.kind = kind
+        self._sequence += 1
+        self._ended.append(
+            EndedRow(self._sequence, ran.task_id, ran.number, kind)
+        )
+        self._unnoted[self._sequence] = ran
+        waiting = self._waiting
+        self._waiting = []
+        for answer in waiting:
+            answer()
+
+    def stop(self, order: StopRun) -> OrderResult:
+        """Stops a run; one that is not there can never start any more."""
+        if order.fence < self._fence:
+            return OrderResult.FENCED
+        self._fence = order.fence
+        known = self._highest.get(order.task_id, 0)
+        self._highest[order.task_id] = max(known, order.number)
+        ran = self._running.get(order.task_id)
+        if ran and ran.number == order.number:
+            self._site.after(STOP_MS, lambda: self._end(ran, EndKind.STOPPED))
+        return OrderResult.DONE
+
+    def hold(
+        self, order: HoldWorker, answer: Callable[[HoldAnswer], None]
+    ) -> None:
+        """Renews the lease; answers at an end or after the wait."""
+        if self.is_gone:
+            answer(HoldAnswer(OrderResult.GONE))
+            return
+        if order.fence < self._fence:
+            answer(HoldAnswer(OrderResult.FENCED))
+            return
+        self._fence = order.fence
+        if order.lease_until_ms is not None:
+            self._renew(order.lease_until_ms)
+        self._note_ends(order.seen_upto)
+        if self._ended or not order.wait_ms:
+            answer(self._list())
+            return
+        is_open = True
+
+        def answer_once() -> None:
+            nonlocal is_open
+            if is_open:
+                is_open = False
+                answer(self._list())
+
+        self._waiting.append(answer_once)
+        self._site.after(order.wait_ms, answer_once)
+
+    def _note_ends(self, seen_upto: int) -> None:
+        self._ended = [row for row in self._ended if row.sequence > seen_upto]
+        for sequence in [one for one in self._unnoted if one <= seen_upto]:
+            self._unnoted.pop(sequence).is_noted = True
+
+    def _list(self) -> HoldAnswer:
+        running = [
+            RunningRow(ran.task_id, ran.number, 0)
+            for ran in self._running.values()
+        ]
+        now_ms = self._site.clock.now_ms()
+        return HoldAnswer(OrderResult.DONE, now_ms, running, self._ended[:])
+
+    def _renew(self, until_ms: float) -> None:
+        now_ms = self._site.clock.now_ms()
+        until_ms = min(until_ms, now_ms + LEASE_MS)
+        self._lease_until_ms = max(self._lease_until_ms, until_ms)
+        left_ms = self._lease_until_ms - now_ms
+        self._site.after(left_ms, self._let_lapse)
+
+    def _let_lapse(self) -> None:
+        if self._site.clock.now_ms() < self._lease_until_ms:
+            return
+        self._unnoted.clear()
+        for ran in list(self._running.values()):
+            self._end(ran, EndKind.LAPSED)
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -12,7 +12,7 @@
 from clayfield.pool import (
     AnswerCaller,
     AnswerCancel,
-    EndedRow,
+    AnswerState,
     EndKind,
     Entry,
     FleetTiming,
@@ -20,21 +20,30 @@
     HoldWorker,
     OrderAnswer,
     OrderResult,
-    RunningRow,
     StartRun,
     StopRun,
     TaskId,
     TellEntry,
 )
+from clayfield.testbed.fakeleader import FakeLeader
+from clayfield.testbed.fakeworker import (
+    LEASE_MS,
+    PLACE_CPU,
+    STOP_MS,
+    FakeWorker,
+    RanTask,
+)
 from clayfield.testbed.timeline import Timeline
 from clayfield.wire.cluster import (
     Grant,
     JobEnded,
     NodeGreeting,
+    StateTold,
     WorkersPush,
 )
 from clayfield.wire.jobs import (
     Job,
+    JobState,
     Limits,
     Route,
     RoutingTable,
@@ -48,179 +57,8 @@
 TICK_MS = 20.0
 ORDER_TIMEOUT_MS = 150.0
 HOLD_SLACK_MS = 250.0
-LEASE_MS = 1000.0
-STOP_MS = 50.0
 LATE_MS = 3000.0
 CALLERS_PATIENCE_MS = 5000.0
-PLACE_CPU = 6800
-
-
-class RanTask:
-    """A run that a worker carried out.
-
-    Attributes:
-        task_id: the task.
-        number: of the run.
-        worker: where.
-        start_ms: when it began.
-        end_ms: when it ended, None while it runs.
-        kind: how it ended.
-    """
-
-    __slots__ = ("end_ms", "kind", "number", "start_ms", "task_id", "worker")
-
-    def __init__(
-        self, task_id: TaskId, number: int, worker: str, start_ms: float
-    ):
-        self.task_id = task_id
-        self.number = number
-        self.worker = worker
-        self.start_ms = start_ms
-        self.end_ms: float | None = None
-        self.kind: EndKind | None = None
-
-
-class FakeWorker:
-    """A worker that keeps the promises of its protocol.
-
-    Attributes:
-        info: what it says of itself.
-        task_ms: how long a task takes here.
-        spread: by which part of that time tasks differ.
-        late_share: share of starts left unanswered and carried out late.
-        is_failing: whether every task fails.
-        is_hanging: whether tasks stand still.
-        is_gone: whether another life answers at its address.
-        is_guarding: whether it rejects what does not fit.
-    """
-
-    def __init__(self, site: "PoolSite", info: WorkerInfo, task_ms: float):
-        self.info = info
-        self.task_ms = task_ms
-        self.spread = 0.0
-        self.late_share = 0.0
-        self.is_failing = False
-        self.is_hanging = False
-        self.is_gone = False
-        self.is_guarding = True
-        self._site = site
-        self._fence = 0
-        self._lease_until_ms = 0.0
-        self._running: dict[TaskId, RanTask] = {}
-        self._highest: dict[TaskId, int] = {}
-        self._ended: list[EndedRow] = []
-        self._sequence = 0
-        self._waiting: list[Callable[[], None]] = []
-
-    def start(self, order: StartRun) -> OrderResult:
-        """Starts a run, unless something speaks against it."""
-        if order.fence < self._fence:
-            return OrderResult.FENCED
-        self._fence = order.fence
-        if order.lease_until_ms <= self._site.clock.now_ms():
-            return OrderResult.TOO_LATE
-        self._renew(order.lease_until_ms)
-        running = self._running.get(order.task_id)
-        if running and running.number == order.number:
-            return OrderResult.DONE
-        if self._highest.get(order.task_id, 0) >= order.number:
-            return OrderResult.OLD_RUN
-        if len(self._running) * PLACE_CPU + PLACE_CPU > self.info.cpu:
-            if self.is_guarding:
-                return OrderResult.NO_ROOM
-            self._site.over_room.append(order.task_id)
-        self._begin(order)
-        return OrderResult.DONE
-
-    def _begin(self, order: StartRun) -> None:
-        now_ms = self._site.clock.now_ms()
-        ran = RanTask(order.task_id, order.number, self.info.name, now_ms)
-        self._running[order.task_id] = ran
-        self._highest[order.task_id] = order.number
-        self._site.ran.append(ran)
-        kind = EndKind.FAILED if self.is_failing else EndKind.DONE
-        spread = self._site.rng.uniform(1 - self.spread, 1 + self.spread)
-        if not self.is_hanging:
-            took_ms = self.task_ms * spread
-            self._site.after(took_ms, lambda: self._end(ran, kind))
-
-    def _end(self, ran: RanTask, kind: EndKind) -> None:
-        if self._running.get(ran.task_id) is not ran:
-            return
-        del self._running[ran.task_id]
-        ran.end_ms = self._site.clock.now_ms()
-        ran.kind = kind
-        self._sequence += 1
-        self._ended.append(
-            EndedRow(self._sequence, ran.task_id, ran.number, kind)
-        )
-        waiting = self._waiting
-        self._waiting = []
-        for answer in waiting:
-            answer()
-
-    def stop(self, order: StopRun) -> OrderResult:
-        """Stops a run; one that is not there can never start any more."""
-        if order.fence < self._fence:
-            return OrderResult.FENCED
-        self._fence = order.fence
-        known = self._highest.get(order.task_id, 0)
-        self._highest[order.task_id] = max(known, order.number)
-        ran = self._running.get(order.task_id)
-        if ran and ran.number == order.number:
-            self._site.after(STOP_MS, lambda: self._end(ran, EndKind.STOPPED))
-        return OrderResult.DONE
-
-    def hold(
-        self, order: HoldWorker, answer: Callable[[HoldAnswer], None]
-    ) -> None:
-        """Renews the lease; answers at an end or after the wait."""
-        if self.is_gone:
-            answer(HoldAnswer(OrderResult.GONE))
-            return
-        if order.fence < self._fence:
-            answer(HoldAnswer(OrderResult.FENCED))
-            return
-        self._fence = order.fence
-        if order.lease_until_ms is not None:
-            self._renew(order.lease_until_ms)
-        self._ended = [
-            row for row in self._ended if row.sequence > order.seen_upto
-        ]
-        if self._ended or not order.wait_ms:
-            answer(self._list())
-            return
-        is_open = True
-
-        def answer_once() -> None:
-            nonlocal is_open
-            if is_open:
-                is_open = False
-                answer(self._list())
-
-        self._waiting.append(answer_once)
-        self._site.after(order.wait_ms, answer_once)
-
-    def _list(self) -> HoldAnswer:
-        running = [
-            RunningRow(ran.task_id, ran.number, 0)
-            for ran in self._running.values()
-        ]
-        now_ms = self._site.clock.now_ms()
-        return HoldAnswer(OrderResult.DONE, now_ms, running, self._ended[:])
-
-    def _renew(self, until_ms: float) -> None:
-        now_ms = self._site.clock.now_ms()
-        until_ms = min(until_ms, now_ms + LEASE_MS)
-        self._lease_until_ms = max(self._lease_until_ms, until_ms)
-        left_ms = self._lease_until_ms - now_ms
-        self._site.after(left_ms, self._let_lapse)
-
-    def _let_lapse(self) -> None:
-        if self._site.clock.now_ms() < self._lease_until_ms:
-            return
-        for ran in list(self._running.values()):
-            self._end(ran, EndKind.LAPSED)
 
 
 class PoolSite(Timeline):
@@ -233,6 +71,10 @@
         ran: every run that a worker carried out.
         over_room: tasks that were started on a full worker.
         ended: by job how it ended for its caller, and when.
+        leader: keeps the record of kept jobs.
+        states: by job what its caller was told last, None for unknown.
+        unsure: how many questions nobody could answer.
+        cancelled: by job when its caller was told that it is cancelled.
     """
 
     def __init__(self, halls: tuple[str, ...], workers_a_hall: int, seed: int):
@@ -243,7 +85,13 @@
         self.ended: dict[str, tuple[float, JobEnded]] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.entries: dict[str, Entry] = {}
+        self.leader = FakeLeader(self.clock, self.after, self._from_leader)
+        self.leader.hall = halls[-1]
+        self.states: dict[str, JobState | None] = {}
+        self.unsure = 0
+        self.cancelled: dict[str, float] = {}
         self._cut: set[str] = set()
+        self._silent: set[str] = set()
         self._keys: dict[int, str] = {}
         self._waiters = 0
         self._epoch = 0
@@ -298,19 +146,31 @@
         """Grants the workers, as the control nodes would."""
         self._epoch += 1
         self._grant = Grant(self._epoch, holder, standbys)
+        self.leader.on_grant(self._grant)
         for node, entry in self.entries.items():
             if entry.hall not in self._cut and node not in self._dead:
                 self._deliver(node, "control", self._grant)
 
     def submit(
-        self, node: str, key: str, count: int = 2, steps: int = 1
+        self,
+        node: str,
+        key: str,
+        count: int = 2,
+        steps: int = 1,
+        is_kept: bool = False,
+        estimate_ms: float = 60.0,
     ) -> None:
         """Hands a job to an entry, each step after the one before."""
-        self._waiters += 1
-        waiter = self._waiters
-        self._keys[waiter] = key
+        waiter = self._wait(key)
         chain = tuple(
-            Step(count, PLACE_CPU, 64, 0, 60.0, (number - 1,) if number else ())
+            Step(
+                count,
+                PLACE_CPU,
+                64,
+                0,
+                estimate_ms,
+                (number - 1,) if number else (),
+            )
             for number in range(steps)
         )
         job = Job(
@@ -324,10 +184,26 @@
             1.6,
             60.0,
             CALLERS_PATIENCE_MS,
+            is_kept,
         )
         self.entries[node].submit(job, waiter)
         self._carry_out(node)
 
+    def _wait(self, key: str) -> int:
+        self._waiters += 1
+        self._keys[self._waiters] = key
+        return self._waiters
+
+    def ask(self, node: str, key: str) -> None:
+        """Asks an entry where a kept job stands; `states` tells."""
+        self.entries[node].ask_state(key, self._wait(key))
+        self._carry_out(node)
+
+    def cancel(self, node: str, key: str) -> None:
+        """Cancels a job at an entry; `cancelled` tells."""
+        self.entries[node].cancel(key, self._wait(key))
+        self._carry_out(node)
+
     def cut_off(self, hall: str) -> None:
         """Cuts a hall off from all others."""
         self._cut.add(hall)
@@ -354,6 +230,10 @@
             if entry.hall == hall:
                 self._deliver(node, "control", self._grant)
 
+    def silence(self, worker: str) -> None:
+        """Cuts a worker off from all entries."""
+        self._silent.add(worker)
+
     def kill(self, node: str) -> None:
         """Ends an entry's process."""
         self._dead.add(node)
@@ -381,6 +261,18 @@
         entry.on_message("control", WorkersPush(infos))
         self.after(TICK_MS, lambda: self._tick(node))
 
+    def started_after_done(self) -> list[tuple[RanTask, RanTask]]:
+        """Returns ends that were noted, with later starts of their tasks."""
+        done = [
+            ran for ran in self.ran if ran.kind is EndKind.DONE and ran.is_noted
+        ]
+        return [
+            (ended, ran)
+            for ended in done
+            for ran in self.ran
+            if ran.task_id == ended.task_id and ran.start_ms > ended.end_ms
+        ]
+
     def runs_together(self) -> list[tuple[RanTask, RanTask]]:
         """Returns pairs of runs of one task that ran at the same time."""
         by_task: dict[TaskId, list[RanTask]] = {}
@@ -421,13 +313,35 @@
                     self._hold(entry, action)
                 case AnswerCaller(waiter=waiter, ended=ended):
                     self._answered(waiter, ended)
-                case AnswerCancel():
-                    pass
+                case AnswerCancel(waiter=waiter, is_known=is_known):
+                    if is_known:
+                        key = self._keys[waiter]
+                        self.cancelled.setdefault(key, self.clock.now_ms())
+                case AnswerState(waiter=waiter, told=told):
+                    self._note_state(self._keys[waiter], told)
 
     def _answered(self, waiter: int, ended: JobEnded) -> None:
         self.ended[self._keys[waiter]] = (self.clock.now_ms(), ended)
 
+    def _note_state(self, key: str, told: StateTold | None) -> None:
+        if told is None or not told.is_sure:
+            self.unsure += 1
+        else:
+            self.states[key] = told.state
+
+    def _from_leader(self, node: str, message: Message) -> None:
+        entry = self.entries.get(node)
+        if entry and not self._is_cut(entry.hall, self.leader.hall):
+            self._deliver(node, self.leader.node, message)
+
     def _send(self, entry: Entry, to: str, message: Message) -> None:
+        if to == self.leader.node:
+            if not self._is_cut(entry.hall, self.leader.hall):
+                self.after(
+                    DELAY_MS,
+                    lambda: self.leader.on_message(entry.node, message),
+                )
+            return
         receiver = self.entries.get(to)
         if receiver and not self._is_cut(entry.hall, receiver.hall):
             self._deliver(to, entry.node, message)
@@ -435,6 +349,7 @@
     def _reach(self, entry: Entry, name: str) -> FakeWorker | None:
         worker = self.workers[name]
         is_cut = self._is_cut(entry.hall, worker.info.hall)
+        is_cut = is_cut or name in self._silent
         return None if is_cut else worker
 
     def _tell(self, entry: Entry, act: Callable[[], None]) -> None:
--- a/packages/testbed/src/clayfield/testbed/poolworkers.py
+++ b/packages/testbed/src/clayfield/testbed/poolworkers.py
@@ -35,7 +35,7 @@
     StopRun,
 )
 from clayfield.pool.tasks import TaskId
-from clayfield.testbed.poolsite import FakeWorker, RanTask
+from clayfield.testbed.fakeworker import FakeWorker, RanTask
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
 CPU = 16_000
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -3,7 +3,14 @@
 import msgspec
 
 from clayfield.base import ClayfieldError, Kind
-from clayfield.wire.jobs import Job, Reason, Verdict, WorkerInfo
+from clayfield.wire.jobs import Job, JobState, Reason, Verdict, WorkerInfo
+from clayfield.wire.ledger import (
+    HolderLease,
+    JobsLoaded,
+    JobsWritten,
+    LoadJobs,
+    WriteJobs,
+)
 from clayfield.wire.messages import Grouped, Message
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -75,24 +82,14 @@
         is_stopping: whether it should hold nothing any more.
         needs_epoch: whether the holder should get a higher fence: workers obey
             a stand-by's, and the hall of that is not cut off any more.
+        sent_ms: when it was sent, on the entry's clock.
     """
 
     config_version: int
     epoch: int
     is_stopping: bool
     needs_epoch: bool = False
-
-
-class ControlStatus(Message, frozen=True, tag=True):
-    """A control node's heartbeat to its entries and peers.
-
-    Attributes:
-        leader: the node that it takes for the leader, or "".
-        halls: the halls of the control nodes that it hears.
-    """
-
-    leader: str
-    halls: tuple[str, ...] = ()
+    sent_ms: float = 0.0
 
 
 class SubmitJob(Message, frozen=True, tag=True):
@@ -124,10 +121,37 @@
 
 
 class JobCancelled(Message, frozen=True, tag=True):
-    """Says whether the holder knew the job."""
+    """Says whether the holder knew the job; None where it can't be sure."""
+
+    request: int
+    is_known: bool | None
+
+
+class AskState(Message, frozen=True, tag=True):
+    """Asks the holder where a kept job stands; answered by `StateTold`."""
 
     request: int
-    is_known: bool
+    key: str
+
+
+class StateTold(Message, frozen=True, tag=True):
+    """Says where a kept job stands.
+
+    Attributes:
+        request: echoed.
+        state: None where there is no such job.
+        is_sure: whether the holder can tell.
+    """
+
+    request: int
+    state: JobState | None
+    is_sure: bool
+
+
+class QueueCounts(Message, frozen=True, tag=True):
+    """Tells every entry how many kept jobs wait, by queue."""
+
+    waiting: dict[str, int]
 
 
 class JobEnded(Message, frozen=True, tag=True):
@@ -154,11 +178,18 @@
     | WorkersPush
     | WorkerLeft
     | EntryStatus
-    | ControlStatus
     | SubmitJob
     | CancelJob
     | JobCancelled
     | JobEnded
+    | AskState
+    | StateTold
+    | QueueCounts
+    | HolderLease
+    | LoadJobs
+    | JobsLoaded
+    | WriteJobs
+    | JobsWritten
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -34,7 +34,7 @@
 
 
 class Job(msgspec.Struct, frozen=True, array_like=True):
-    """A job that is answered once it has ended, and not kept.
+    """A job of steps.
 
     Attributes:
         key: names the job within its queue.
@@ -47,6 +47,8 @@
         stretch: the objective as a multiple of the longest chain of work.
         target_ms: added to it.
         timeout_ms: when its caller stops waiting, from its arrival.
+        is_kept: whether its caller is answered once it is on stable storage
+            and asks for its state later; else once it has ended.
     """
 
     key: str
@@ -59,13 +61,14 @@
     stretch: float
     target_ms: float
     timeout_ms: float
+    is_kept: bool = False
 
 
 class Verdict(enum.IntEnum):
-    """How a job ended.
+    """What the caller of a job is told.
 
     REFUSED says that nothing of it ran or will run; ABANDONED that something
-    of it may have run.
+    of it may have run; ACCEPTED that it is kept and will run.
     """
 
     COMPLETED = 0
@@ -73,6 +76,17 @@
     REFUSED = 2
     ABANDONED = 3
     CANCELLED = 4
+    ACCEPTED = 5
+
+
+class JobState(enum.StrEnum):
+    """Where a kept job stands."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
 
 
 class Reason(enum.StrEnum):
@@ -88,6 +102,8 @@
     HOLDER_LOST = "holder-lost"
     ATTEMPTS = "attempts-used-up"
     CANCELLED = "cancelled"
+    NOT_STORED = "storage-out-of-reach"
+    TOO_MANY = "too-many-kept-jobs"
 
 
 class WorkerState(enum.StrEnum):
