--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -29,8 +29,8 @@
     AnswerState,
     Dial,
     Entry,
-    FleetTiming,
     HoldWorker,
+    PoolTiming,
     StartRun,
     StopRun,
     TellEntry,
@@ -88,7 +88,7 @@
         self._clock = MonotonicClock()
         incarnation = int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
         self._node = node_name(place_text(cfg.peers), incarnation)
-        timing = FleetTiming(cfg.lease_ms, cfg.stop_ms)
+        timing = PoolTiming(cfg.lease_ms, cfg.stop_ms, cfg.keep_ended_ms)
         self._entry = Entry(self._node, cfg.hall, self._clock, timing)
         self._streams = Streams(
             reactor,
--- a/packages/pool/src/clayfield/pool/__init__.py
+++ b/packages/pool/src/clayfield/pool/__init__.py
@@ -11,7 +11,6 @@
     Entry,
     EntryAction,
 )
-from clayfield.pool.fleet import FleetTiming
 from clayfield.pool.orders import (
     EndedRow,
     EndKind,
@@ -26,6 +25,7 @@
 )
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
+from clayfield.pool.timing import PoolTiming
 
 __all__ = [
     "AnswerCaller",
@@ -36,7 +36,7 @@
     "EndedRow",
     "Entry",
     "EntryAction",
-    "FleetTiming",
+    "PoolTiming",
     "HoldAnswer",
     "HoldWorker",
     "OrderAnswer",
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -6,7 +6,6 @@
 from clayfield.pool.fleet import (
     Fleet,
     FleetListener,
-    FleetTiming,
     RunEnd,
 )
 from clayfield.pool.forecast import Forecast
@@ -16,6 +15,7 @@
 from clayfield.pool.orders import EndedRow, EndKind, PoolAction, TellEntry
 from clayfield.pool.placement import RoomSearch
 from clayfield.pool.tasks import OpenJob, Run, RunState, TaskState
+from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
 from clayfield.wire.cluster import (
     CancelJob,
@@ -50,7 +50,7 @@
     def __init__(
         self,
         clock: Clock,
-        timing: FleetTiming,
+        timing: PoolTiming,
         fence: int,
         ledger: JobLedger | None = None,
         listened_since_ms: float = 0.0,
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -7,7 +7,6 @@
 
 from clayfield.base import Clock
 from clayfield.pool.dispatcher import Dispatcher
-from clayfield.pool.fleet import FleetTiming
 from clayfield.pool.kept import KeptJobs
 from clayfield.pool.ledger import JobLedger
 from clayfield.pool.orders import (
@@ -18,6 +17,7 @@
 )
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
+from clayfield.pool.timing import PoolTiming
 from clayfield.wire.cluster import (
     AskState,
     CancelJob,
@@ -162,7 +162,7 @@
         is_refusing: whether it takes no jobs any more.
     """
 
-    def __init__(self, node: str, hall: str, clock: Clock, timing: FleetTiming):
+    def __init__(self, node: str, hall: str, clock: Clock, timing: PoolTiming):
         self.node = node
         self.hall = hall
         self.routes = Routes()
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -23,6 +23,7 @@
     StopRun,
 )
 from clayfield.pool.tasks import Run, RunState, Task, TaskId
+from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
 from clayfield.wire.jobs import WorkerInfo
 
@@ -56,21 +57,6 @@
 _ENDS = {EndKind.DONE: RunEnd.DONE, EndKind.FAILED: RunEnd.FAILED}
 
 
-class FleetTiming:
-    """The times that workers keep.
-
-    Attributes:
-        lease_ms: the longest lease that a worker takes.
-        stop_ms: how long a stop takes at most.
-    """
-
-    __slots__ = ("lease_ms", "stop_ms")
-
-    def __init__(self, lease_ms: float = 1000.0, stop_ms: float = 50.0):
-        self.lease_ms = lease_ms
-        self.stop_ms = stop_ms
-
-
 class FleetListener(abc.ABC):
     """Who hears how runs end."""
 
@@ -105,7 +91,7 @@
     def __init__(
         self,
         clock: Clock,
-        timing: FleetTiming,
+        timing: PoolTiming,
         listener: FleetListener,
         fence: int,
         is_standby: bool = False,
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -12,11 +12,12 @@
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
 from clayfield.pool.admission import Admission
-from clayfield.pool.fleet import Fleet, FleetTiming, RunEnd
+from clayfield.pool.fleet import Fleet, RunEnd
 from clayfield.pool.jobtable import JobTable
 from clayfield.pool.ledger import AUTHORITY_MS, JobLedger, StoredChange
 from clayfield.pool.orders import EndedRow, EndKind, TellEntry
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
+from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import CLOCK_DRIFT, TRANSIT_MS, Worker
 from clayfield.wire.cluster import (
     AskState,
@@ -45,8 +46,8 @@
 LISTENED_MS = 3500.0
 # How long the answer about a running job waits for its end.
 STATE_WAIT_MS = 100.0
-# Ended jobs are remembered for so long; the record keeps them as long.
-REMEMBER_MS = 150_000.0
+# Ended jobs are remembered for longer than the record keeps them.
+REMEMBER_MARGIN_MS = 30_000.0
 # Of the runs of one holder, numbers below those of the next.
 RUNS_AN_EPOCH = 100
 # What stopping and withholding leases may take beyond their own times.
@@ -429,9 +430,14 @@
         self._settle(now_ms)
         self._answer_waiting(now_ms)
         self._watch_authority(now_ms)
-        for key, (ended_ms, _) in list(self._states.items()):
-            if now_ms - ended_ms < REMEMBER_MS:
-                break
+        self._forget_ended(now_ms)
+
+    def _forget_ended(self, now_ms: float) -> None:
+        keep_ms = self._fleet.timing.keep_ended_ms + REMEMBER_MARGIN_MS
+        while self._states:
+            key, (ended_ms, _) = next(iter(self._states.items()))
+            if now_ms - ended_ms < keep_ms:
+                return
             del self._states[key]
 
     def _settle(self, now_ms: float) -> None:
@@ -475,6 +481,7 @@
             event = Event.AUTHORITY_BACK
             if not has_authority:
                 event = Event.AUTHORITY_LOST
+                self._refuse_unsent()
             emit(event, epoch=self.ledger.epoch)
         for worker in self._fleet.workers.values():
             if has_authority:
@@ -482,6 +489,17 @@
             else:
                 self._stop_kept_runs(worker, now_ms)
 
+    def _refuse_unsent(self) -> None:
+        """Refuses the jobs whose acceptance has never been sent."""
+        for job in self.ledger.withdraw_jobs():
+            opened = self._jobs.by_key.get(job.key)
+            if opened is not None:
+                self._finish(
+                    opened, Verdict.REFUSED, Reason.NOT_STORED, RETRY_MS
+                )
+            for entry, request in self._cancels.pop(job.key, ()):
+                self._tell(entry, JobCancelled(request, False))
+
     def _stop_kept_runs(self, worker: Worker, now_ms: float) -> None:
         kept_runs = [run for run in worker.runs.values() if _is_kept(run)]
         if kept_runs:
@@ -499,7 +517,7 @@
     return run.task is not None and run.task.job.job.is_kept
 
 
-def handover_ms(timing: FleetTiming) -> float:
+def handover_ms(timing: PoolTiming) -> float:
     """Returns after which time nothing runs that an earlier holder began.
 
     It stops at the end of its authority; where its stops do not arrive, its
--- a/packages/pool/src/clayfield/pool/ledger.py
+++ b/packages/pool/src/clayfield/pool/ledger.py
@@ -10,8 +10,9 @@
 
 from clayfield.base import Clock
 from clayfield.pool.orders import TellEntry
-from clayfield.wire.jobs import JobState
+from clayfield.wire.jobs import Job, JobState
 from clayfield.wire.ledger import (
+    AcceptJob,
     HolderLease,
     JobChange,
     JobsLoaded,
@@ -88,6 +89,19 @@
         """Writes a change; `on_written` returns it once it is stored."""
         self._unsent.append(change)
 
+    def withdraw_jobs(self) -> list[Job]:
+        """Takes back the acceptances that were never sent; returns them."""
+        jobs = [
+            one.change.job
+            for one in self._unsent
+            if isinstance(one.change, AcceptJob)
+        ]
+        keys = {job.key for job in jobs}
+        self._unsent = [
+            one for one in self._unsent if _key_of(one.change) not in keys
+        ]
+        return jobs
+
     def raise_epoch(self, epoch: int) -> None:
         """Goes on under the next grant, with no other holder between."""
         self.epoch = epoch
@@ -169,3 +183,7 @@
         self._parts = []
         load = LoadJobs(self.epoch, self._request)
         self.actions.append(TellEntry(self._leader, load))
+
+
+def _key_of(change: JobChange) -> str:
+    return change.job.key if isinstance(change, AcceptJob) else change.key
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -15,11 +15,11 @@
     AnswerState,
     EndKind,
     Entry,
-    FleetTiming,
     HoldAnswer,
     HoldWorker,
     OrderAnswer,
     OrderResult,
+    PoolTiming,
     StartRun,
     StopRun,
     TaskId,
@@ -104,7 +104,7 @@
     def _add_hall(self, hall: str, workers: int) -> None:
         for number in range(2):
             node = f"{hall}-{number}/1"
-            timing = FleetTiming(LEASE_MS, STOP_MS)
+            timing = PoolTiming(LEASE_MS, STOP_MS)
             self.entries[node] = Entry(node, hall, self.clock, timing)
             self.entries[node].on_config(_table())
             self.after(TICK_MS, lambda node=node: self._tick(node))
@@ -242,7 +242,7 @@
 
     def start_anew(self, node: str, hall: str, known_halls: set[str]) -> None:
         """Starts an entry that hears of the workers of some halls only."""
-        timing = FleetTiming(LEASE_MS, STOP_MS)
+        timing = PoolTiming(LEASE_MS, STOP_MS)
         entry = Entry(node, hall, self.clock, timing)
         entry.on_config(_table())
         for name in sorted({one.hall for one in self.entries.values()}):
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -112,6 +112,20 @@
     assert site.ran == []
 
 
+def test_what_was_never_sent_to_a_silent_leader_is_refused_at_once():
+    site = _site()
+    site.leader.is_silent = True
+    site.submit("a-1/1", "sent", is_kept=True)
+    site.run(20)
+    site.submit("a-1/1", "unsent", is_kept=True)
+    site.run(1600)
+    assert _verdicts(site) == {"unsent": Verdict.REFUSED}
+    site.leader.is_silent = False
+    site.run(2000)
+    assert _verdicts(site)["sent"] is Verdict.ACCEPTED
+    assert {ran.task_id.job for ran in site.ran} == {"sent"}
+
+
 def test_a_holder_that_no_leader_answers_stops_what_it_runs():
     site = _site()
     for worker in site.workers.values():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,10 +28,10 @@
 from clayfield.node.own import OwnCallers, OwnOperators
 from clayfield.pool import (
     EndKind,
-    FleetTiming,
     HoldAnswer,
     HoldWorker,
     OrderResult,
+    PoolTiming,
     Routes,
     StartRun,
     StopRun,
@@ -439,7 +439,7 @@
     routes = Routes(operators.read_table(json.dumps(config).encode()))
     call = callers.read_call(_request("POST", path, job), routes)
     clock = ManualClock(1000.0)
-    dispatcher = Dispatcher(clock, FleetTiming(), 8)
+    dispatcher = Dispatcher(clock, PoolTiming(), 8)
     dispatcher.on_worker(info)
     dispatcher.tick()
     dispatcher.take_actions()
