--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -199,9 +199,9 @@
                 waiter = self._wait(request, job.key, job.queue)
                 self._entry.submit(job, waiter)
             case CancelCall(key=key):
-                self._entry.cancel(key, self._wait(request, key, ""))
+                self._entry.callers.cancel(key, self._wait(request, key, ""))
             case StateCall(key=key):
-                self._entry.ask_state(key, self._wait(request, key, ""))
+                self._entry.callers.ask_state(key, self._wait(request, key, ""))
             case CountCall(queue=queue):
                 waiting = self._entry.waiting_of(queue)
                 _reply(request, self._callers.write_count(waiting))
@@ -219,7 +219,7 @@
     def _on_gone(self, number: int) -> None:
         waiter = self._waiters.pop(number, None)
         if waiter:
-            self._entry.leave(waiter.key, number)
+            self._entry.callers.leave(waiter.key, number)
             self.kick()
 
     def _answer_job(self, number: int, ended: JobEnded) -> None:
--- a/packages/pool/src/clayfield/pool/__init__.py
+++ b/packages/pool/src/clayfield/pool/__init__.py
@@ -3,14 +3,14 @@
 Pure decisions: they are fed events and a clock and return actions.
 """
 
-from clayfield.pool.entry import (
+from clayfield.pool.actions import (
     AnswerCaller,
     AnswerCancel,
     AnswerState,
     Dial,
-    Entry,
     EntryAction,
 )
+from clayfield.pool.entry import Entry
 from clayfield.pool.orders import (
     EndedRow,
     EndKind,
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -196,12 +196,12 @@
 
     def ask(self, node: str, key: str) -> None:
         """Asks an entry where a kept job stands; `states` tells."""
-        self.entries[node].ask_state(key, self._wait(key))
+        self.entries[node].callers.ask_state(key, self._wait(key))
         self._carry_out(node)
 
     def cancel(self, node: str, key: str) -> None:
         """Cancels a job at an entry; `cancelled` tells."""
-        self.entries[node].cancel(key, self._wait(key))
+        self.entries[node].callers.cancel(key, self._wait(key))
         self._carry_out(node)
 
     def cut_off(self, hall: str) -> None:
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -156,7 +156,7 @@
 def test_a_caller_that_leaves_does_not_end_its_job():
     site = _site()
     site.submit("a-1/1", "job", is_kept=True)
-    site.entries["a-1/1"].leave("job", 1)
+    site.entries["a-1/1"].callers.leave("job", 1)
     site.run(400)
     assert _ask_all(site, {"job"}, "b-1/1") == {"job": JobState.COMPLETED}
 
