Go on from the checkpoints of tasks whose progress can be saved

What workers list of a run's progress is kept with the run; when the run ends otherwise than done its task's next run brings it. A new holder takes it from the lists.

--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -44,6 +44,7 @@
     requires: str = ""
     rack: str = ""
     max_per_worker: int = 0
+    checkpointing: bool = False
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
@@ -196,6 +197,7 @@
         step.requires,
         step.rack,
         step.max_per_worker,
+        is_checkpointing=step.checkpointing,
     )
 
 
--- a/packages/node/src/clayfield/node/own/workers.py
+++ b/packages/node/src/clayfield/node/own/workers.py
@@ -37,6 +37,7 @@
     spec: str
     lease_until_ms: float
     fence: int
+    checkpoint: str = ""
 
 
 class StopBody(msgspec.Struct):
@@ -64,6 +65,7 @@
     task: TaskId
     number: int
     percent: int = 0
+    saved: str = ""
 
 
 class EndedItem(msgspec.Struct):
@@ -73,6 +75,7 @@
     task: TaskId
     number: int
     kind: EndKind
+    saved: str = ""
 
 
 class WorkerAnswer(msgspec.Struct):
@@ -106,6 +109,7 @@
             order.spec,
             order.lease_until_ms,
             order.fence,
+            order.checkpoint,
         )
         return _request(START_PATH, order.address, body)
 
@@ -140,9 +144,12 @@
         return HoldAnswer(
             said.result,
             said.clock_ms,
-            [RunningRow(r.task, r.number, r.percent) for r in said.running],
             [
-                EndedRow(e.sequence, e.task, e.number, e.kind)
+                RunningRow(r.task, r.number, r.percent, r.saved)
+                for r in said.running
+            ],
+            [
+                EndedRow(e.sequence, e.task, e.number, e.kind, e.saved)
                 for e in said.ended
             ],
         )
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -178,6 +178,7 @@
         if task.run is not run:
             return
         task.run = None
+        task.keep_progress(run)
         if task.job.is_ended:
             return
         if task.job.job.is_kept:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -195,6 +195,7 @@
                 task.job.job.spec,
                 worker.lease_until(now_ms, lease_ms),
                 self.fence,
+                task.checkpoint,
             )
         )
 
@@ -383,6 +384,7 @@
             self._note_past_end(worker, row)
         if is_listed:
             run.end_sequence = row.sequence
+            run.saved = row.saved
             self._end(worker, run, _ENDS.get(row.kind, RunEnd.LOST))
 
     def _note_past_end(self, worker: Worker, row: EndedRow) -> None:
@@ -410,6 +412,7 @@
             if known is None:
                 self._adopt(worker, row)
             elif known.number == row.number:
+                known.saved = row.saved
                 self._confirm(known)
         for run in list(worker.runs.values()):
             if (run.task_id, run.number) not in listed:
@@ -444,6 +447,7 @@
             self._clock.now_ms(),
         )
         run.answered_ms = run.since_ms
+        run.saved = row.saved
         worker.reserve(run)
         self.foreign[row.task_id] = run
         if self.is_standby:
--- a/packages/pool/src/clayfield/pool/orders.py
+++ b/packages/pool/src/clayfield/pool/orders.py
@@ -36,28 +36,52 @@
 
 
 class RunningRow:
-    """A run that a worker lists as under way."""
+    """A run that a worker lists as under way.
 
-    __slots__ = ("number", "percent", "task_id")
+    Attributes:
+        task_id: the task.
+        number: of the run.
+        percent: the share of its full pace at which it may work.
+        saved: the checkpoint of its progress, "" for none.
+    """
 
-    def __init__(self, task_id: TaskId, number: int, percent: int):
+    __slots__ = ("number", "percent", "saved", "task_id")
+
+    def __init__(
+        self, task_id: TaskId, number: int, percent: int, saved: str = ""
+    ):
         self.task_id = task_id
         self.number = number
         self.percent = percent
+        self.saved = saved
 
 
 class EndedRow:
-    """A run that a worker lists as ended, numbered within its life."""
+    """A run that a worker lists as ended.
 
-    __slots__ = ("kind", "number", "sequence", "task_id")
+    Attributes:
+        sequence: its number within the worker's life.
+        task_id: the task.
+        number: of the run.
+        kind: how it ended.
+        saved: the checkpoint of its progress, "" for none.
+    """
+
+    __slots__ = ("kind", "number", "saved", "sequence", "task_id")
 
     def __init__(
-        self, sequence: int, task_id: TaskId, number: int, kind: EndKind
+        self,
+        sequence: int,
+        task_id: TaskId,
+        number: int,
+        kind: EndKind,
+        saved: str = "",
     ):
         self.sequence = sequence
         self.task_id = task_id
         self.number = number
         self.kind = kind
+        self.saved = saved
 
 
 class OrderAnswer:
@@ -112,10 +136,12 @@
         lease_until_ms: until when the worker may run what it runs, on the
             worker's clock.
         fence: of the holder.
+        checkpoint: of the progress to go on from, "" for none.
     """
 
     __slots__ = (
         "address",
+        "checkpoint",
         "fence",
         "lease_until_ms",
         "number",
@@ -133,6 +159,7 @@
         spec: str,
         lease_until_ms: float,
         fence: int,
+        checkpoint: str = "",
     ):
         self.worker = worker
         self.address = address
@@ -141,6 +168,7 @@
         self.spec = spec
         self.lease_until_ms = lease_until_ms
         self.fence = fence
+        self.checkpoint = checkpoint
 
 
 class StopRun:
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -62,10 +62,13 @@
         run: the run that it is placed in, None otherwise.
         avoided: workers on which a run of it has failed or was stuck.
         was_moved: whether a stuck run of it was stopped once already.
+        checkpoint: of the progress that its next run goes on from, "" for
+            none.
     """
 
     __slots__ = (
         "avoided",
+        "checkpoint",
         "failures",
         "id",
         "job",
@@ -86,6 +89,12 @@
         self.run: Run | None = None
         self.avoided: set[str] = set()
         self.was_moved = False
+        self.checkpoint = ""
+
+    def keep_progress(self, run: "Run") -> None:
+        """Has the next run go on from where one has ended."""
+        if self.step.is_checkpointing and run.saved:
+            self.checkpoint = run.saved
 
 
 class Run:
@@ -105,6 +114,7 @@
         work_ms: how long it should take on a worker of usual speed.
         expected_ms: how long it should take on its worker.
         stopped_ms: when the worker confirmed its stop, None before.
+        saved: the checkpoint of its progress that the worker told last.
         end_sequence: by which the worker numbers its end, 0 before.
     """
 
@@ -116,6 +126,7 @@
         "gpu",
         "memory_mb",
         "number",
+        "saved",
         "since_ms",
         "state",
         "stopped_ms",
@@ -142,6 +153,7 @@
         self.since_ms = since_ms
         self.answered_ms: float | None = None
         self.stopped_ms: float | None = None
+        self.saved = ""
         self.end_sequence = 0
         self.work_ms = 0.0
         self.expected_ms = 0.0
--- a/packages/testbed/src/clayfield/testbed/fakeworker.py
+++ b/packages/testbed/src/clayfield/testbed/fakeworker.py
@@ -27,6 +27,23 @@
 PLACE_CPU = 6800
 
 
+def write_checkpoint(task_id: TaskId, done_ms: float) -> str:
+    """Returns a checkpoint of a task."""
+    return f"{task_id.job}/{task_id.step}/{task_id.index}/{done_ms}"
+
+
+def read_checkpoint(text: str, task_id: TaskId) -> float:
+    """Returns the work that a checkpoint tells of, in ms.
+
+    Raises:
+        ValueError: it is another task's.
+    """
+    start, _, done_ms = text.rpartition("/")
+    if start != write_checkpoint(task_id, 0.0).rpartition("/")[0]:
+        raise ValueError(f"{text} is not of {task_id}")
+    return float(done_ms)
+
+
 class WorkerSite(Protocol):
     """Where a worker stands, and what is recorded there.
 
@@ -56,12 +73,14 @@
         start_ms: when it began.
         end_ms: when it ended, None while it runs.
         kind: how it ended.
+        from_ms: the work that was done in runs before, as its checkpoint said.
         is_noted: whether the worker was told to forget its end, and its lease
             had not lapsed before.
     """
 
     __slots__ = (
         "end_ms",
+        "from_ms",
         "is_noted",
         "kind",
         "number",
@@ -80,6 +99,7 @@
         self.end_ms: float | None = None
         self.kind: EndKind | None = None
         self.is_noted = False
+        self.from_ms = 0.0
 
 
 class FakeWorker:
@@ -141,10 +161,12 @@
         self._running[order.task_id] = ran
         self._highest[order.task_id] = order.number
         self._site.ran.append(ran)
+        if order.checkpoint:
+            ran.from_ms = read_checkpoint(order.checkpoint, order.task_id)
         kind = EndKind.FAILED if self.is_failing else EndKind.DONE
         spread = self._site.rng.uniform(1 - self.spread, 1 + self.spread)
         if not self.is_hanging:
-            took_ms = self.task_ms * spread
+            took_ms = max(0.0, self.task_ms * spread - ran.from_ms)
             self._site.after(took_ms, lambda: self._end(ran, kind))
 
     def _end(self, ran: RanTask, kind: EndKind) -> None:
@@ -155,7 +177,13 @@
         ran.kind = kind
         self._sequence += 1
         self._ended.append(
-            EndedRow(self._sequence, ran.task_id, ran.number, kind)
+            EndedRow(
+                self._sequence,
+                ran.task_id,
+                ran.number,
+                kind,
+                self._checkpoint(ran),
+            )
         )
         self._unnoted[self._sequence] = ran
         waiting = self._waiting
@@ -210,12 +238,16 @@
 
     def _list(self) -> HoldAnswer:
         running = [
-            RunningRow(ran.task_id, ran.number, 0)
+            RunningRow(ran.task_id, ran.number, 0, self._checkpoint(ran))
             for ran in self._running.values()
         ]
         now_ms = self._site.clock.now_ms()
         return HoldAnswer(OrderResult.DONE, now_ms, running, self._ended[:])
 
+    def _checkpoint(self, ran: RanTask) -> str:
+        passed_ms = self._site.clock.now_ms() - ran.start_ms
+        return write_checkpoint(ran.task_id, ran.from_ms + passed_ms)
+
     def _renew(self, until_ms: float) -> None:
         now_ms = self._site.clock.now_ms()
         until_ms = min(until_ms, now_ms + LEASE_MS)
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from clayfield.pool import (
     AnswerCaller,
     AnswerCancel,
@@ -61,6 +63,9 @@
 CALLERS_PATIENCE_MS = 5000.0
 
 
+USUAL_STEP = Step(1, PLACE_CPU, 64, estimate_ms=60.0)
+
+
 class PoolSite(Timeline):
     """Entries, workers and the links between them.
 
@@ -158,18 +163,22 @@
         count: int = 2,
         steps: int = 1,
         is_kept: bool = False,
-        estimate_ms: float = 60.0,
+        template: Step = USUAL_STEP,
     ) -> None:
-        """Hands a job to an entry, each step after the one before."""
+        """Hands a job to an entry, each step after the one before.
+
+        Args:
+            node: the entry.
+            key: names the job.
+            count: tasks of each step.
+            steps: how many.
+            is_kept: whether the job is kept.
+            template: what each step is like.
+        """
         waiter = self._wait(key)
         chain = tuple(
-            Step(
-                count,
-                PLACE_CPU,
-                64,
-                0,
-                estimate_ms,
-                (number - 1,) if number else (),
+            msgspec.structs.replace(
+                template, count=count, after=(number - 1,) if number else ()
             )
             for number in range(steps)
         )
--- a/packages/testbed/src/clayfield/testbed/poolworkers.py
+++ b/packages/testbed/src/clayfield/testbed/poolworkers.py
@@ -108,6 +108,7 @@
             body.spec,
             body.lease_until_ms,
             body.fence,
+            body.checkpoint,
         )
         self._answer(request, self._worker.start(order))
 
@@ -142,10 +143,13 @@
         answer = WorkerAnswer(result, self._site.clock.now_ms())
         if held:
             answer.running = [
-                RunningItem(row.task_id, row.number) for row in held.running
+                RunningItem(row.task_id, row.number, row.percent, row.saved)
+                for row in held.running
             ]
             answer.ended = [
-                EndedItem(row.sequence, row.task_id, row.number, row.kind)
+                EndedItem(
+                    row.sequence, row.task_id, row.number, row.kind, row.saved
+                )
                 for row in held.ended
             ]
         request.answer(200, msgspec.json.encode(answer))
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -19,6 +19,7 @@
         rack: the rack that holds the data, or "".
         max_per_worker: most tasks of this step on one worker, 0 for any.
         speculative: whether copies may run beside one another.
+        is_checkpointing: whether the progress of its tasks can be saved.
     """
 
     count: int
@@ -31,6 +32,7 @@
     rack: str = ""
     max_per_worker: int = 0
     speculative: bool = False
+    is_checkpointing: bool = False
 
 
 class Job(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -2,12 +2,13 @@
 
 import random
 
+import msgspec
 import pytest
 
 from clayfield.base import ManualClock
 from clayfield.cluster.jobbook import JobBook
 from clayfield.pool import EndKind
-from clayfield.testbed.poolsite import PoolSite
+from clayfield.testbed.poolsite import USUAL_STEP, PoolSite
 from clayfield.wire.jobs import Job, JobState, Reason, Step, Verdict
 from clayfield.wire.ledger import AcceptJob, CancelAccepted, EndTask
 
@@ -26,6 +27,12 @@
     return site
 
 
+def _step(estimate_ms, **fields):
+    return msgspec.structs.replace(
+        USUAL_STEP, estimate_ms=estimate_ms, **fields
+    )
+
+
 def _verdicts(site):
     return {key: ended.verdict for key, (_, ended) in site.ended.items()}
 
@@ -130,7 +137,7 @@
     site = _site()
     for worker in site.workers.values():
         worker.task_ms = 10_000
-    site.submit("a-1/1", "job", is_kept=True, estimate_ms=10_000)
+    site.submit("a-1/1", "job", is_kept=True, template=_step(10_000))
     site.run(100)
     assert [ran.end_ms for ran in site.ran] == [None, None]
     site.leader.is_silent = True
@@ -142,6 +149,50 @@
     _assert_sound(site)
 
 
+@pytest.mark.parametrize("is_checkpointing", [True, False])
+def test_what_was_stopped_goes_on_from_its_checkpoint(is_checkpointing):
+    site = _site()
+    for worker in site.workers.values():
+        worker.task_ms = 4000
+    template = _step(4000, is_checkpointing=is_checkpointing)
+    site.submit("a-1/1", "job", is_kept=True, template=template)
+    site.run(100)
+    site.leader.is_silent = True
+    site.run(1800)
+    site.leader.is_silent = False
+    site.run(6000)
+    _assert_sound(site)
+    assert _ask_all(site, {"job"}, "c-1/1") == {"job": JobState.COMPLETED}
+    again = [ran for ran in site.ran if ran.number > 1]
+    assert len(again) == 2
+    took_ms = {round(ran.end_ms - ran.start_ms + ran.from_ms) for ran in again}
+    assert took_ms == {4000}
+    assert all((ran.from_ms > 1000) == is_checkpointing for ran in again)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_new_holder_goes_on_from_the_checkpoints_that_workers_tell(seed):
+    site = _site(seed)
+    for worker in site.workers.values():
+        worker.task_ms = 1500
+    template = _step(1500, is_checkpointing=True)
+    for number in range(3):
+        site.submit(
+            "b-1/1", f"job-{number}", 4, is_kept=True, template=template
+        )
+    site.run(500 + seed)
+    site.kill(HOLDER)
+    site.run(150)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(100)
+    site.silence("worker-a-0")
+    site.run(SETTLE_MS)
+    _assert_sound(site)
+    assert any(ran.from_ms for ran in site.ran)
+    states = _ask_all(site, _accepted(site), "c-1/1")
+    assert set(states.values()) == {JobState.COMPLETED}
+
+
 def test_a_job_that_is_sent_again_stays_one_job():
     site = _site()
     site.submit("a-1/1", "job", is_kept=True)
@@ -233,7 +284,7 @@
     site = _site()
     for worker in site.workers.values():
         worker.task_ms = 600
-    site.submit("a-1/1", "job", count=12, is_kept=True, estimate_ms=600)
+    site.submit("a-1/1", "job", count=12, is_kept=True, template=_step(600))
     site.run(100)
     assert {ran.worker for ran in site.ran} == set(site.workers)
     site.silence("worker-b-0")
@@ -281,8 +332,8 @@
     site = _site()
     for worker in site.workers.values():
         worker.task_ms = 2000
-    site.submit("a-1/1", "job", 9, is_kept=True, estimate_ms=2000)
-    site.submit("a-1/1", "other", 1, is_kept=True, estimate_ms=2000)
+    site.submit("a-1/1", "job", 9, is_kept=True, template=_step(2000))
+    site.submit("a-1/1", "other", 1, is_kept=True, template=_step(2000))
     site.run(100)
     site.cancel("b-1/1", "job")
     if kill_ms:
