Place gangs as a whole, under one run number, and end them together

What: a search finds workers for all tasks of a gang as if each were placed after the other, in one rack first where the gang asks for that; then all start under one number, or none does, so two gangs never hold each other up. When a run of it ends otherwise than done, the others are stopped and the gang waits until none goes on. One done end stands for all; a failed run counts once. A new holder stops gangs of which it found only a part.

--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -45,6 +45,8 @@
     rack: str = ""
     max_per_worker: int = 0
     checkpointing: bool = False
+    gang: bool = False
+    one_rack: bool = False
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
@@ -198,6 +200,8 @@
         step.rack,
         step.max_per_worker,
         is_checkpointing=step.checkpointing,
+        is_gang=step.gang,
+        wants_one_rack=step.one_rack,
     )
 
 
--- a/packages/node/src/clayfield/node/own/operators.py
+++ b/packages/node/src/clayfield/node/own/operators.py
@@ -72,6 +72,7 @@
     memory_mb: int = 0
     gpu: int = 0
     labels: tuple[str, ...] = ()
+    rack: str = ""
 
 
 class _Problem(msgspec.Struct):
@@ -171,6 +172,7 @@
             said.memory_mb,
             said.gpu,
             said.labels,
+            said.rack,
         )
     )
 
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -14,7 +14,7 @@
 from clayfield.pool.ledger import JobLedger
 from clayfield.pool.orders import EndedRow, EndKind, PoolAction, TellEntry
 from clayfield.pool.placement import RoomSearch
-from clayfield.pool.tasks import OpenJob, Run, RunState, TaskState
+from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
 from clayfield.wire.cluster import (
@@ -181,25 +181,40 @@
         task.keep_progress(run)
         if task.job.is_ended:
             return
+        if end is not RunEnd.DONE:
+            self._stop_all(task.job.runs_of_gang(task))
         if task.job.job.is_kept:
             self.kept.on_run_end(run, end, worker)
-            return
+        elif task.state is not TaskState.DONE:
+            self._apply_end(run, end, worker, now_ms)
+
+    def _apply_end(
+        self, run: Run, end: RunEnd, worker: Worker, now_ms: float
+    ) -> None:
+        """Applies the end of a run to a task of a job that is not kept."""
+        task = run.task
+        opened = task.job
         if end is RunEnd.DONE:
-            task.state = TaskState.DONE
-            if task.job.is_done:
-                self._admission.on_completed(task.job, now_ms)
-                self._finish(task.job, Verdict.COMPLETED, Reason.NONE)
+            opened.note_done(task)
+            if opened.is_done:
+                self._admission.on_completed(opened, now_ms)
+                self._finish(opened, Verdict.COMPLETED, Reason.NONE)
             else:
-                self._jobs.enqueue(task.job)
+                self._jobs.enqueue(opened)
             return
         if end is RunEnd.FAILED:
-            task.failures += 1
             task.avoided.add(worker.name)
-            if task.failures >= task.job.job.max_attempts:
-                self._finish(task.job, Verdict.FAILED, Reason.ATTEMPTS)
+            counting = opened.note_failure(task, run.number)
+            if counting.failures >= opened.job.max_attempts:
+                self._finish(opened, Verdict.FAILED, Reason.ATTEMPTS)
                 return
         task.state = TaskState.WAITING
-        self._jobs.enqueue(task.job)
+        self._jobs.enqueue(opened)
+
+    def _stop_all(self, runs: list[Run]) -> None:
+        for run in runs:
+            if run.state in (RunState.STARTING, RunState.RUNNING):
+                self.fleet.stop(run)
 
     def _learn(
         self, run: Run, end: RunEnd, worker: Worker, now_ms: float
@@ -269,7 +284,12 @@
         """
         for worker in self.fleet.workers.values():
             for run in worker.runs.values():
-                is_moved = run.task is None or run.task.was_moved
+                # A gang is as slow as its slowest task.
+                is_moved = (
+                    run.task is None
+                    or run.task.was_moved
+                    or run.task.step.is_gang
+                )
                 is_under_way = run.state is RunState.RUNNING
                 if is_moved or not is_under_way or not run.is_stuck(now_ms):
                     continue
@@ -303,6 +323,7 @@
             elif self.fleet.past_end(task.id) is EndKind.DONE:
                 task.state = TaskState.DONE
         opened.is_placeable = True
+        self._stop_all(opened.partial_gangs())
         if opened.is_done:
             self._finish(opened, Verdict.COMPLETED, Reason.NONE)
 
@@ -402,23 +423,46 @@
 
     def _place_job(self, opened: OpenJob, room: RoomSearch) -> bool:
         """Starts tasks of a job; returns whether any was started."""
-        waiting = opened.waiting_tasks()
+        waiting = opened.waiting_steps()
         started = 0
-        for task in waiting:
-            worker = room.find(task)
-            if worker is None:
-                continue
-            expected_ms = self._admission.expected_ms(opened.job, task)
-            self.fleet.start(worker, task, expected_ms)
-            task.state = TaskState.PLACED
-            opened.is_offered = True
-            opened.starts += 1
-            opened.placed_on.add(worker.name)
-            started += 1
-        if started == len(waiting):
+        for tasks in waiting:
+            if tasks[0].step.is_gang:
+                started += self._place_gang(tasks, room)
+            else:
+                started += self._place_each(tasks, room)
+        if started == sum(len(tasks) for tasks in waiting):
             self._jobs.dequeue(opened)
         return started > 0
 
+    def _place_each(self, tasks: list[Task], room: RoomSearch) -> int:
+        started = 0
+        for task in tasks:
+            worker = room.find(task)
+            if worker is not None:
+                self._start(worker, task)
+                started += 1
+        return started
+
+    def _place_gang(self, tasks: list[Task], room: RoomSearch) -> int:
+        """Starts all tasks of a gang under one run number, or none."""
+        workers = room.find_together(tasks)
+        if workers is None:
+            return 0
+        last_run = max(task.last_run for task in tasks)
+        for worker, task in zip(workers, tasks, strict=True):
+            task.last_run = last_run
+            self._start(worker, task)
+        return len(tasks)
+
+    def _start(self, worker: Worker, task: Task) -> None:
+        opened = task.job
+        expected_ms = self._admission.expected_ms(opened.job, task)
+        self.fleet.start(worker, task, expected_ms)
+        task.state = TaskState.PLACED
+        opened.is_offered = True
+        opened.starts += 1
+        opened.placed_on.add(worker.name)
+
     # Ends.
 
     def _give_up(self, opened: OpenJob, reason: Reason) -> None:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -242,10 +242,11 @@
 
     def on_run_end(self, run: Run, end: RunEnd, worker: Worker) -> None:
         """Learns that a run of a kept job's task has ended."""
+        if run.task.state is TaskState.DONE:
+            return
         if end is RunEnd.LOST:
-            if run.task.state is not TaskState.DONE:
-                run.task.state = TaskState.WAITING
-                self._jobs.enqueue(run.task.job)
+            run.task.state = TaskState.WAITING
+            self._jobs.enqueue(run.task.job)
             return
         self._note_end(
             run.task,
@@ -259,29 +260,30 @@
         self, task: Task, number: int, is_done: bool, worker: Worker, at: int
     ) -> None:
         opened = task.job
-        change = EndTask(
-            task.id.job, task.id.step, task.id.index, number, is_done
-        )
-        if at:
-            worker.await_storing(at)
-        opened.unstored_ends += 1
-        self.ledger.write(StoredChange(change, worker.name, at))
         if is_done:
-            task.state = TaskState.DONE
+            counting = opened.note_done(task)
         else:
             task.state = TaskState.WAITING
-            task.failures += 1
             task.avoided.add(worker.name)
-        self._decide_outcome(opened, task)
+            counting = [opened.note_failure(task, number)]
+        worker.await_storing(at)
+        for one in counting:
+            change = EndTask(
+                one.id.job, one.id.step, one.id.index, number, is_done
+            )
+            opened.unstored_ends += 1
+            self.ledger.write(StoredChange(change, worker.name, at))
+        self._decide_outcome(opened, counting)
         if opened.outcome is None:
             self._jobs.enqueue(opened)
 
-    def _decide_outcome(self, opened: OpenJob, task: Task) -> None:
+    def _decide_outcome(self, opened: OpenJob, counting: list[Task]) -> None:
         if opened.outcome is not None:
             return
+        attempts = max(task.failures for task in counting)
         if opened.is_done:
             opened.outcome = JobState.COMPLETED
-        elif task.failures >= opened.job.max_attempts:
+        elif attempts >= opened.job.max_attempts:
             opened.outcome = JobState.FAILED
 
     def on_foreign_end(self, row: EndedRow, worker: Worker) -> None:
@@ -342,7 +344,9 @@
                 opened.tasks[step][index].state = TaskState.DONE
                 opened.is_offered = True
         for failed in kept.failures:
-            opened.tasks[failed.step][failed.index].failures = failed.count
+            task = opened.tasks[failed.step][failed.index]
+            task.failures = failed.count
+            task.last_failed_run = failed.last_run
             opened.is_offered = True
         opened.late_at_ms = self._admission.late_at_ms(opened)
         self._jobs.add(opened)
@@ -453,6 +457,8 @@
         for opened in self._unsettled.values():
             opened.is_placeable = True
             self._jobs.enqueue(opened)
+            for run in opened.partial_gangs():
+                self._fleet.stop(run)
         self._unsettled.clear()
 
     def _is_settled(self, now_ms: float) -> bool:
--- a/packages/pool/src/clayfield/pool/orders.py
+++ b/packages/pool/src/clayfield/pool/orders.py
@@ -33,6 +33,7 @@
     STOPPED = "stopped"
     LAPSED = "lapsed"
     BROKEN = "broken"
+    ALONE = "alone"
 
 
 class RunningRow:
--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from clayfield.pool.tasks import Task
+from clayfield.pool.tasks import Run, RunState, Task
 from clayfield.pool.worker import Worker
 from clayfield.wire.jobs import Step
 
@@ -40,6 +40,49 @@
             return None
         return min(candidates, key=lambda worker: _score(task, worker))
 
+    def find_together(self, tasks: list[Task]) -> list[Worker] | None:
+        """Returns workers for all tasks of a gang at once, None if none.
+
+        Where the gang wants one rack, racks are tried before all workers.
+        """
+        groups = [self._open]
+        if tasks[0].step.wants_one_rack:
+            groups = [*self._racks(), self._open]
+        for group in groups:
+            found = _find_all(tasks, group)
+            if found:
+                return found
+        return None
+
+    def _racks(self) -> list[list[Worker]]:
+        """Returns the workers by rack, the rack with most room first."""
+        by_rack: dict[str, list[Worker]] = {}
+        for worker in self._open:
+            by_rack.setdefault(worker.info.rack, []).append(worker)
+        by_rack.pop("", None)
+        return sorted(
+            by_rack.values(),
+            key=lambda rack: -sum(worker.free_cpu for worker in rack),
+        )
+
+
+def _find_all(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
+    """Returns a worker for each task, as if those before were placed."""
+    found: list[tuple[Worker, Run]] = []
+    for task in tasks:
+        candidates = [one for one in workers if may_run(task, one)]
+        if not candidates:
+            break
+        best = min(candidates, key=lambda worker: _score(task, worker))
+        placeholder = Run(task.id, 0, best.name, task, RunState.STARTING, 0.0)
+        best.reserve(placeholder)
+        found.append((best, placeholder))
+    for worker, placeholder in found:
+        worker.release(placeholder)
+    if len(found) < len(tasks):
+        return None
+    return [worker for worker, _ in found]
+
 
 def _asks_as_much(step: Step, other: Step) -> bool:
     return (
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -57,7 +57,9 @@
         job: what it belongs to.
         step: what it asks for.
         state: where it stands.
-        failures: runs that ended by its own or the worker's fault.
+        failures: runs that ended by its own or the worker's fault; those of
+            a gang are counted at its first task.
+        last_failed_run: the number of the latest run that failed.
         last_run: the number of its latest run.
         run: the run that it is placed in, None otherwise.
         avoided: workers on which a run of it has failed or was stuck.
@@ -72,6 +74,7 @@
         "failures",
         "id",
         "job",
+        "last_failed_run",
         "last_run",
         "run",
         "state",
@@ -85,6 +88,7 @@
         self.step = step
         self.state = TaskState.WAITING
         self.failures = 0
+        self.last_failed_run = 0
         self.last_run = job.first_run - 1
         self.run: Run | None = None
         self.avoided: set[str] = set()
@@ -295,14 +299,57 @@
         """Whether all its tasks have ended."""
         return all(self.is_step_done(n) for n in range(len(self.tasks)))
 
-    def waiting_tasks(self) -> list[Task]:
-        """Returns the tasks whose turn has come and that are not placed."""
-        ready: list[Task] = []
+    def waiting_steps(self) -> list[list[Task]]:
+        """Returns the tasks, by step, that may be placed now.
+
+        Of a gang that is all of them, or none while a run of it goes on.
+        """
+        ready: list[list[Task]] = []
         for number, step in enumerate(self.job.steps):
-            if all(self.is_step_done(before) for before in step.after):
-                ready += [
-                    task
-                    for task in self.tasks[number]
-                    if task.state is TaskState.WAITING
-                ]
+            if not all(self.is_step_done(before) for before in step.after):
+                continue
+            waiting = [
+                task
+                for task in self.tasks[number]
+                if task.state is TaskState.WAITING
+            ]
+            is_whole = len(waiting) == step.count
+            if waiting and (is_whole or not step.is_gang):
+                ready.append(waiting)
         return ready
+
+    # Ends.
+
+    def gang_of(self, task: Task) -> list[Task]:
+        """Returns the tasks that work jointly with one, itself among them."""
+        return self.tasks[task.id.step] if task.step.is_gang else [task]
+
+    def note_done(self, task: Task) -> list[Task]:
+        """Notes that a task has ended well; returns those that did with it."""
+        members = self.gang_of(task)
+        for member in members:
+            member.state = TaskState.DONE
+        return members
+
+    def note_failure(self, task: Task, run: int) -> Task:
+        """Counts a failed run once; returns the task that counts it."""
+        counting = self.gang_of(task)[0]
+        if run > counting.last_failed_run:
+            counting.last_failed_run = run
+            counting.failures += 1
+        return counting
+
+    def runs_of_gang(self, task: Task) -> list["Run"]:
+        """Returns the runs of a gang that go on."""
+        if not task.step.is_gang:
+            return []
+        return [one.run for one in self.gang_of(task) if one.run is not None]
+
+    def partial_gangs(self) -> list["Run"]:
+        """Returns the runs of gangs some of whose tasks are not placed."""
+        runs: list[Run] = []
+        for step, tasks in zip(self.job.steps, self.tasks, strict=True):
+            is_waiting = any(one.state is TaskState.WAITING for one in tasks)
+            if step.is_gang and is_waiting:
+                runs += self.runs_of_gang(tasks[0])
+        return runs
--- a/packages/testbed/src/clayfield/testbed/fakeworker.py
+++ b/packages/testbed/src/clayfield/testbed/fakeworker.py
@@ -4,6 +4,7 @@
 it ran is recorded at its site.
 """
 
+import functools
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -24,6 +25,7 @@
 
 LEASE_MS = 1000.0
 STOP_MS = 50.0
+GANG_TIMEOUT_MS = 3000.0
 PLACE_CPU = 6800
 
 
@@ -52,17 +54,41 @@
         rng: spreads how long tasks take.
         ran: every run that was carried out.
         over_room: tasks that were started on a full worker.
+        gangs: the gangs at work or waiting, by job and step.
     """
 
     clock: Clock
     rng: random.Random
     ran: list["RanTask"]
     over_room: list[TaskId]
+    gangs: dict[tuple[str, int], "FakeGang"]
 
     def after(self, delay_ms: float, act: Callable[[], None]) -> None:
         """Has something happen later."""
 
 
+class FakeGang:
+    """The tasks of a gang, as the machines that run them know it.
+
+    Attributes:
+        size: how many tasks it has.
+    """
+
+    def __init__(self, size: int):
+        self.size = size
+        self._present: dict[int, list[tuple[FakeWorker, RanTask]]] = {}
+
+    def join(self, worker: "FakeWorker", ran: "RanTask") -> bool:
+        """Takes a task of a run; returns whether all are present."""
+        members = self._present.setdefault(ran.number, [])
+        members.append((worker, ran))
+        return len(members) == self.size
+
+    def members(self, number: int) -> list[tuple["FakeWorker", "RanTask"]]:
+        """Returns the tasks of a run that were present."""
+        return list(self._present.get(number, ()))
+
+
 class RanTask:
     """A run that a worker carried out.
 
@@ -165,10 +191,33 @@
             ran.from_ms = read_checkpoint(order.checkpoint, order.task_id)
         kind = EndKind.FAILED if self.is_failing else EndKind.DONE
         spread = self._site.rng.uniform(1 - self.spread, 1 + self.spread)
-        if not self.is_hanging:
+        gang = self._site.gangs.get((order.task_id.job, order.task_id.step))
+        if gang:
+            self._join(gang, ran, kind)
+        elif not self.is_hanging:
             took_ms = max(0.0, self.task_ms * spread - ran.from_ms)
             self._site.after(took_ms, lambda: self._end(ran, kind))
 
+    def _join(self, gang: FakeGang, ran: RanTask, kind: EndKind) -> None:
+        """Begins to work once all tasks of the run are present."""
+        if not gang.join(self, ran):
+            alone = functools.partial(self._end_alone, gang, ran)
+            self._site.after(GANG_TIMEOUT_MS, alone)
+            return
+        for worker, member in gang.members(ran.number):
+            end = functools.partial(worker._end, member, kind)
+            self._site.after(self.task_ms, end)
+
+    def _end_alone(self, gang: FakeGang, ran: RanTask) -> None:
+        if len(gang.members(ran.number)) < gang.size:
+            self._end(ran, EndKind.ALONE)
+
+    def _break_gang(self, ran: RanTask) -> None:
+        """Ends the others of a gang of which one has ended badly."""
+        gang = self._site.gangs.get((ran.task_id.job, ran.task_id.step))
+        for worker, member in gang.members(ran.number) if gang else ():
+            worker._end(member, EndKind.BROKEN)
+
     def _end(self, ran: RanTask, kind: EndKind) -> None:
         if self._running.get(ran.task_id) is not ran:
             return
@@ -190,6 +239,8 @@
         self._waiting = []
         for answer in waiting:
             answer()
+        if kind is not EndKind.DONE:
+            self._break_gang(ran)
 
     def stop(self, order: StopRun) -> OrderResult:
         """Stops a run; one that is not there can never start any more."""
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -32,6 +32,7 @@
     LEASE_MS,
     PLACE_CPU,
     STOP_MS,
+    FakeGang,
     FakeWorker,
     RanTask,
 )
@@ -75,6 +76,7 @@
         workers: by name.
         ran: every run that a worker carried out.
         over_room: tasks that were started on a full worker.
+        gangs: by job and step.
         ended: by job how it ended for its caller, and when.
         leader: keeps the record of kept jobs.
         states: by job what its caller was told last, None for unknown.
@@ -87,6 +89,7 @@
         self.rng = random.Random(seed)
         self.ran: list[RanTask] = []
         self.over_room: list[TaskId] = []
+        self.gangs: dict[tuple[str, int], FakeGang] = {}
         self.ended: dict[str, tuple[float, JobEnded]] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.entries: dict[str, Entry] = {}
@@ -125,6 +128,8 @@
                 2 * PLACE_CPU + 100,
                 1000,
                 0,
+                ("kind", f"rack-{hall}"),
+                f"rack-{hall}",
             )
             self.workers[name] = FakeWorker(self, info, task_ms=60.0)
 
@@ -182,6 +187,9 @@
             )
             for number in range(steps)
         )
+        if template.is_gang:
+            for number in range(steps):
+                self.gangs[(key, number)] = FakeGang(count)
         job = Job(
             key,
             "queue",
@@ -239,6 +247,14 @@
             if entry.hall == hall:
                 self._deliver(node, "control", self._grant)
 
+    def ends(self, job: str, kind: EndKind) -> list[RanTask]:
+        """Returns the runs of a job that ended in a way."""
+        return [
+            ran
+            for ran in self.ran
+            if ran.task_id.job == job and ran.kind is kind
+        ]
+
     def silence(self, worker: str) -> None:
         """Cuts a worker off from all entries."""
         self._silent.add(worker)
--- a/packages/testbed/src/clayfield/testbed/poolworkers.py
+++ b/packages/testbed/src/clayfield/testbed/poolworkers.py
@@ -35,7 +35,7 @@
     StopRun,
 )
 from clayfield.pool.tasks import TaskId
-from clayfield.testbed.fakeworker import FakeWorker, RanTask
+from clayfield.testbed.fakeworker import FakeGang, FakeWorker, RanTask
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
 CPU = 16_000
@@ -52,6 +52,7 @@
         clock: the machine's.
         ran: every run that was carried out.
         over_room: tasks that were started on a full worker.
+        gangs: none, as these workers do not know of each other.
         rng: unused by workers that are well.
     """
 
@@ -59,6 +60,7 @@
         self.clock = MonotonicClock()
         self.ran: list[RanTask] = []
         self.over_room: list[TaskId] = []
+        self.gangs: dict[tuple[str, int], FakeGang] = {}
         self.rng = random.Random(0)
 
     def after(self, delay_ms: float, act: object) -> None:
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -20,6 +20,9 @@
         max_per_worker: most tasks of this step on one worker, 0 for any.
         speculative: whether copies may run beside one another.
         is_checkpointing: whether the progress of its tasks can be saved.
+        is_gang: whether its tasks work only jointly: all are started with one
+            run number, and end well together.
+        wants_one_rack: whether a gang works faster within one rack.
     """
 
     count: int
@@ -33,6 +36,8 @@
     max_per_worker: int = 0
     speculative: bool = False
     is_checkpointing: bool = False
+    is_gang: bool = False
+    wants_one_rack: bool = False
 
 
 class Job(msgspec.Struct, frozen=True, array_like=True):
@@ -129,6 +134,7 @@
         memory_mb: memory.
         gpu: accelerators.
         labels: its kind and its rack.
+        rack: where it stands, "" where that is not told.
     """
 
     name: str
@@ -141,6 +147,7 @@
     memory_mb: int
     gpu: int
     labels: tuple[str, ...] = ()
+    rack: str = ""
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,7 +39,13 @@
 )
 from clayfield.pool.dispatcher import Dispatcher
 from clayfield.wire.cluster import JobEnded, StateTold, SubmitJob
-from clayfield.wire.jobs import JobState, Reason, Verdict, WorkerState
+from clayfield.wire.jobs import (
+    JobState,
+    Reason,
+    Step,
+    Verdict,
+    WorkerState,
+)
 
 ROOT = pathlib.Path(__file__).parent.parent
 KEY = "5c0e7a21d94b36f8"
@@ -128,7 +134,7 @@
         (
             "POST",
             f"/q/{KEY}",
-            {**JOB, "steps": [{"count": 2, "gang": True}]},
+            {**JOB, "steps": [{"count": 2, "fills": True}]},
             503,
         ),
     ],
@@ -147,6 +153,28 @@
     assert _call("POST", f"/q/{KEY}", body).job.is_kept == is_kept
 
 
+def test_what_a_step_asks_for_is_read():
+    fields = {
+        "count": 2,
+        "gang": True,
+        "same_rack": True,
+        "checkpointing": True,
+        "requires": "b",
+        "affinity": "r1-3",
+        "anti_affinity": 1,
+    }
+    step = _call("POST", f"/q/{KEY}", {**JOB, "steps": [fields]}).job.steps[0]
+    assert step == Step(
+        2,
+        requires="b",
+        rack="r1-3",
+        max_per_worker=1,
+        is_checkpointing=True,
+        is_gang=True,
+        wants_one_rack=True,
+    )
+
+
 def test_reads_and_cancels():
     assert isinstance(_call("GET", f"/q/{KEY}"), StateCall)
     assert isinstance(_call("DELETE", f"/q/{KEY}"), CancelCall)
