Run tasks that last until their job is cancelled

What: a task that lasts waits for a worker again however its run ended, is never taken for late or stuck, teaches nothing about times and holds its place in every forecast without end. Its ends are not of the record. Nothing that is at work is stopped but by a cancel, or by a holder that no leader answers, so no more than a caller allows are away through us. A refusal never tells callers to stay away for longer than 10 s.

--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -47,6 +47,7 @@
     checkpointing: bool = False
     gang: bool = False
     one_rack: bool = False
+    lasting: bool = False
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
@@ -202,6 +203,7 @@
         is_checkpointing=step.checkpointing,
         is_gang=step.gang,
         wants_one_rack=step.one_rack,
+        is_lasting=step.lasting,
     )
 
 
--- a/packages/pool/src/clayfield/pool/admission.py
+++ b/packages/pool/src/clayfield/pool/admission.py
@@ -69,6 +69,8 @@
         return self._step_ms(job, task.step)
 
     def _step_ms(self, job: Job, step: Step) -> float:
+        if step.is_lasting:
+            return math.inf
         return self._estimates.expected_ms(job.queue, step.estimate_ms)
 
     def longest_ms(self, job: Job) -> float:
@@ -83,6 +85,8 @@
     def late_at_ms(self, opened: OpenJob) -> float:
         """Returns when too little time is left to end a job in time."""
         job = opened.job
+        if opened.is_lasting:
+            return math.inf
         needed_ms = self.longest_ms(job) * LATE_SHARE
         return opened.arrived_ms + self.objective_ms(job) - needed_ms
 
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -1,5 +1,7 @@
 """The holder's decisions: which task runs on which worker, in what order."""
 
+import math
+
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
 from clayfield.pool.admission import OVERHEAD_MS, Admission
@@ -34,6 +36,7 @@
 # Answers that are kept for callers that ask again.
 KEPT_ANSWERS_MS = 20_000.0
 LEAST_RETRY_MS = 50.0
+LONGEST_RETRY_MS = 10_000.0
 # After so many jobs without room for any task the rest waits for a change.
 MISSES_IN_A_ROW = 24
 
@@ -174,13 +177,17 @@
         if task is None:
             return
         now_ms = self._clock.now_ms()
-        self._learn(run, end, worker, now_ms)
+        if not task.step.is_lasting:
+            self._learn(run, end, worker, now_ms)
         if task.run is not run:
             return
         task.run = None
         task.keep_progress(run)
         if task.job.is_ended:
             return
+        if task.step.is_lasting:
+            self._start_again(task, worker)
+            return
         if end is not RunEnd.DONE:
             self._stop_all(task.job.runs_of_gang(task))
         if task.job.job.is_kept:
@@ -188,6 +195,12 @@
         elif task.state is not TaskState.DONE:
             self._apply_end(run, end, worker, now_ms)
 
+    def _start_again(self, task: Task, worker: Worker) -> None:
+        """Has a task that lasts run again, elsewhere if there is room."""
+        task.state = TaskState.WAITING
+        task.avoided = {worker.name}
+        self._jobs.enqueue(task.job)
+
     def _apply_end(
         self, run: Run, end: RunEnd, worker: Worker, now_ms: float
     ) -> None:
@@ -336,6 +349,8 @@
             return False
         now_ms = self._clock.now_ms()
         opened.late_at_ms = self._admission.late_at_ms(opened)
+        if opened.is_lasting:
+            return True
         is_late = now_ms > opened.late_at_ms
         forecast = self._forecast(now_ms)
         if not forecast.has_places:
@@ -369,7 +384,7 @@
         allowed_ms = self._admission.allowed_ms(opened.job, now_ms)
         if opened.forecast_ms <= allowed_ms or not is_free:
             return False
-        retry_ms = max(LEAST_RETRY_MS, end_ms)
+        retry_ms = min(LONGEST_RETRY_MS, max(LEAST_RETRY_MS, end_ms))
         self._finish(opened, Verdict.REFUSED, Reason.TOO_LATE, retry_ms)
         return True
 
@@ -503,10 +518,15 @@
             verdict=verdict.name.lower(),
             reason=reason.value,
             age_ms=round(self._clock.now_ms() - opened.arrived_ms),
-            objective_ms=round(self._admission.objective_ms(opened.job)),
-            forecast_ms=round(opened.forecast_ms),
+            objective_ms=_whole(self._admission.objective_ms(opened.job)),
+            forecast_ms=_whole(opened.forecast_ms),
             starts=opened.starts,
             workers=sorted(opened.placed_on),
             open_jobs=len(self._jobs.by_key),
             fence=self.fleet.fence,
         )
+
+
+def _whole(time_ms: float) -> int | None:
+    """Returns a time as it is logged, None for one without an end."""
+    return round(time_ms) if math.isfinite(time_ms) else None
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -300,7 +300,8 @@
             worker.on_stored(row.sequence)
             return
         task = opened.tasks[row.task_id.step][row.task_id.index]
-        if task.state is TaskState.DONE or task.run is not None:
+        is_over = task.state is TaskState.DONE or task.step.is_lasting
+        if is_over or task.run is not None:
             worker.on_stored(row.sequence)
             return
         opened.is_offered = True
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -271,6 +271,11 @@
             for number, step in enumerate(job.steps)
         ]
 
+    @property
+    def is_lasting(self) -> bool:
+        """Whether it has tasks that run until it is cancelled."""
+        return any(step.is_lasting for step in self.job.steps)
+
     @property
     def turn(self) -> tuple[int, float]:
         """Its place among the jobs that are not late; the least goes first."""
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -23,6 +23,8 @@
         is_gang: whether its tasks work only jointly: all are started with one
             run number, and end well together.
         wants_one_rack: whether a gang works faster within one rack.
+        is_lasting: whether its tasks run until the job is cancelled, and are
+            started again however they end.
     """
 
     count: int
@@ -38,6 +40,7 @@
     is_checkpointing: bool = False
     is_gang: bool = False
     wants_one_rack: bool = False
+    is_lasting: bool = False
 
 
 class Job(msgspec.Struct, frozen=True, array_like=True):
