--- a/packages/cluster/src/clayfield/cluster/jobbook.py
+++ b/packages/cluster/src/clayfield/cluster/jobbook.py
@@ -33,10 +33,8 @@
     def __init__(self, kept: KeptJob, since_ms: float):
         self.kept = kept
         self.since_ms = since_ms
-        self.left = sum(
-            step.count - len(done)
-            for step, done in zip(kept.job.steps, kept.done, strict=True)
-        )
+        done = sum(len(indices) for indices in kept.done)
+        self.left = kept.job.task_count - done
 
 
 class _Ended:
@@ -70,7 +68,8 @@
         for change in changes:
             match change:
                 case AcceptJob(job=job):
-                    self._accept(KeptJob(job, [[] for _ in job.steps]))
+                    stages = job.times * len(job.steps)
+                    self._accept(KeptJob(job, [[] for _ in range(stages)]))
                 case EndTask():
                     self._end_task(change)
                 case CancelAccepted(key=key):
@@ -97,7 +96,8 @@
             self._note_failure(known, change)
 
     def _note_done(self, known: _Open, change: EndTask) -> None:
-        done = known.kept.done[change.step]
+        job = known.kept.job
+        done = known.kept.done[job.stage_of(change.step, change.time)]
         if change.index in done:
             return
         done.append(change.index)
@@ -106,7 +106,8 @@
             self._end(change.key, JobState.COMPLETED)
 
     def _note_failure(self, known: _Open, change: EndTask) -> None:
-        failures = _failures_of(known.kept, change.step, change.index)
+        stage = known.kept.job.stage_of(change.step, change.time)
+        failures = _failures_of(known.kept, stage, change.index)
         if change.run <= failures.last_run:
             return
         failures.last_run = change.run
@@ -161,10 +162,10 @@
         }
 
 
-def _failures_of(kept: KeptJob, step: int, index: int) -> TaskFailures:
+def _failures_of(kept: KeptJob, stage: int, index: int) -> TaskFailures:
     for failures in kept.failures:
-        if (failures.step, failures.index) == (step, index):
+        if (failures.stage, failures.index) == (stage, index):
             return failures
-    failures = TaskFailures(step, index, 0, 0)
+    failures = TaskFailures(stage, index, 0, 0)
     kept.failures.append(failures)
     return failures
--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -18,7 +18,16 @@
 from clayfield.node.httpserver import HttpRequest
 from clayfield.pool import Routes
 from clayfield.wire.cluster import JobEnded, StateTold
-from clayfield.wire.jobs import Job, JobState, Reason, Route, Step, Verdict
+from clayfield.wire.jobs import (
+    MAX_TASKS,
+    Job,
+    JobState,
+    Reason,
+    Route,
+    Schedule,
+    Step,
+    Verdict,
+)
 
 MS_PER_S = 1000.0
 FIRST_RETRY_MS = 1000.0
@@ -55,6 +64,7 @@
     steps: list[_Step]
     timeout_ms: float = 0.0
     keep: bool = False
+    schedule: Schedule | None = None
 
 
 class _Outcome(msgspec.Struct):
@@ -160,7 +170,8 @@
     if len(said.spec.encode()) > MAX_SPEC_BYTES:
         raise ClayfieldError(Kind.TOO_LARGE, f"spec over {MAX_SPEC_BYTES}.")
     _check_steps(said.steps)
-    return Job(
+    _check_schedule(said.schedule)
+    job = Job(
         key,
         route.name,
         route.service,
@@ -172,7 +183,21 @@
         route.target_ms,
         said.timeout_ms or route.timeout_ms,
         said.keep,
+        said.schedule,
     )
+    if job.task_count > MAX_TASKS:
+        raise ClayfieldError(Kind.TOO_LARGE, f"over {MAX_TASKS} tasks.")
+    return job
+
+
+def _check_schedule(schedule: Schedule | None) -> None:
+    if schedule is None:
+        return
+    if schedule.repeats < 1 or schedule.interval_ms < 0:
+        raise ClayfieldError(
+            Kind.BAD_FIELD,
+            "schedule: repeats is not above 0, or interval_ms is below 0.",
+        )
 
 
 def _check_steps(steps: list[_Step]) -> None:
--- a/packages/pool/src/clayfield/pool/admission.py
+++ b/packages/pool/src/clayfield/pool/admission.py
@@ -85,7 +85,7 @@
     def late_at_ms(self, opened: OpenJob) -> float:
         """Returns when too little time is left to end a job in time."""
         job = opened.job
-        if opened.is_lasting:
+        if opened.is_lasting or job.schedule:
             return math.inf
         needed_ms = self.longest_ms(job) * LATE_SHARE
         return opened.arrived_ms + self.objective_ms(job) - needed_ms
@@ -117,12 +117,23 @@
         self, forecast: Forecast, opened: OpenJob, now_ms: float
     ) -> float:
         """Lays what is left of a job on the places; returns its end."""
+        return max(
+            (
+                self._add_time(forecast, opened, time, now_ms)
+                for time in range(opened.released)
+            ),
+            default=0.0,
+        )
+
+    def _add_time(
+        self, forecast: Forecast, opened: OpenJob, time: int, now_ms: float
+    ) -> float:
         ends: list[float] = []
         for number, step in enumerate(opened.job.steps):
             ready_ms = max((ends[n] for n in step.after), default=0.0)
             expected_ms = self._step_ms(opened.job, step)
             end_ms = 0.0
-            for task in opened.tasks[number]:
+            for task in opened.tasks[opened.job.stage_of(number, time)]:
                 task_end_ms = _task_end_ms(
                     forecast, task, expected_ms, ready_ms, now_ms
                 )
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -280,6 +280,7 @@
             is_over = now_ms >= opened.timeout_at_ms
             if is_over and not opened.job.is_kept:
                 self._give_up(opened, Reason.TIMED_OUT)
+        self._jobs.release_due(self._clock.wall_ms())
         self._jobs.turn_late(now_ms)
         self._move_stuck(now_ms)
         self._review(now_ms)
@@ -349,7 +350,7 @@
             return False
         now_ms = self._clock.now_ms()
         opened.late_at_ms = self._admission.late_at_ms(opened)
-        if opened.is_lasting:
+        if opened.is_lasting or opened.job.schedule:
             return True
         is_late = now_ms > opened.late_at_ms
         forecast = self._forecast(now_ms)
--- a/packages/pool/src/clayfield/pool/jobtable.py
+++ b/packages/pool/src/clayfield/pool/jobtable.py
@@ -17,6 +17,7 @@
     Attributes:
         by_key: all of them.
         on_time: those that can still end in time.
+        timed: those that run at given times.
         is_changed: whether a job was enqueued since this was last cleared.
     """
 
@@ -29,11 +30,13 @@
         "by_key",
         "is_changed",
         "on_time",
+        "timed",
     )
 
     def __init__(self) -> None:
         self.by_key: dict[str, OpenJob] = {}
         self.on_time: dict[str, OpenJob] = {}
+        self.timed: dict[str, OpenJob] = {}
         self.is_changed = False
         self._queue: dict[str, OpenJob] = {}
         self._late: list[tuple[int, float, str]] = []
@@ -48,6 +51,8 @@
         key = opened.job.key
         self.by_key[key] = opened
         self.on_time[key] = opened
+        if opened.job.schedule:
+            self.timed[key] = opened
         self._count(opened, 1)
 
     def enqueue(self, opened: OpenJob) -> None:
@@ -65,6 +70,7 @@
         """Drops a job."""
         opened = self.by_key.pop(key, None)
         self.on_time.pop(key, None)
+        self.timed.pop(key, None)
         self._queue.pop(key, None)
         if opened:
             self._count(opened, -1)
@@ -78,6 +84,12 @@
                 if key in self._queue:
                     self._sort_in(opened)
 
+    def release_due(self, wall_ms: float) -> None:
+        """Has the tasks placed of the times that are due now."""
+        for opened in self.timed.values():
+            if opened.release(wall_ms):
+                self.enqueue(opened)
+
     def _sort_in(self, opened: OpenJob) -> None:
         key = opened.job.key
         if key not in self._late_keys:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -269,7 +269,12 @@
         worker.await_storing(at)
         for one in counting:
             change = EndTask(
-                one.id.job, one.id.step, one.id.index, number, is_done
+                one.id.job,
+                one.id.step,
+                one.id.index,
+                number,
+                is_done,
+                one.id.time,
             )
             opened.unstored_ends += 1
             self.ledger.write(StoredChange(change, worker.name, at))
@@ -299,7 +304,7 @@
         if opened is None or not opened.job.is_kept:
             worker.on_stored(row.sequence)
             return
-        task = opened.tasks[row.task_id.step][row.task_id.index]
+        task = opened.task_of(row.task_id)
         is_over = task.state is TaskState.DONE or task.step.is_lasting
         if is_over or task.run is not None:
             worker.on_stored(row.sequence)
@@ -340,12 +345,12 @@
         opened.entries.clear()
         opened.is_stored = True
         opened.is_placeable = False
-        for step, indices in enumerate(kept.done):
+        for stage, indices in enumerate(kept.done):
             for index in indices:
-                opened.tasks[step][index].state = TaskState.DONE
+                opened.tasks[stage][index].state = TaskState.DONE
                 opened.is_offered = True
         for failed in kept.failures:
-            task = opened.tasks[failed.step][failed.index]
+            task = opened.tasks[failed.stage][failed.index]
             task.failures = failed.count
             task.last_failed_run = failed.last_run
             opened.is_offered = True
@@ -414,7 +419,7 @@
     def _end(self, opened: OpenJob, state: JobState) -> None:
         key = opened.job.key
         now_ms = self._clock.now_ms()
-        if state is JobState.COMPLETED:
+        if state is JobState.COMPLETED and not opened.job.schedule:
             self._admission.on_completed(opened, now_ms)
         self._states[key] = (now_ms, state)
         self._unsettled.pop(key, None)
@@ -471,7 +476,7 @@
 
     def _claim(self, opened: OpenJob, run: Run) -> None:
         """Gives a run that an earlier holder began to its task."""
-        task = opened.tasks[run.task_id.step][run.task_id.index]
+        task = opened.task_of(run.task_id)
         if task.state is not TaskState.WAITING:
             return
         expected_ms = self._admission.expected_ms(opened.job, task)
--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from clayfield.pool.tasks import Run, RunState, Task
+from clayfield.pool.tasks import Run, RunState, Task, TaskId
 from clayfield.pool.worker import Worker
 from clayfield.wire.jobs import Step
 
@@ -108,8 +108,16 @@
 
 def _placed_of_step(task: Task, worker: Worker) -> int:
     return sum(
-        run.task_id.job == task.id.job and run.task_id.step == task.id.step
-        for run in worker.runs.values()
+        _is_of_step(run.task_id, task.id) for run in worker.runs.values()
+    )
+
+
+def _is_of_step(task_id: TaskId, other: TaskId) -> bool:
+    """Tells whether two tasks are of one step at one time."""
+    return (task_id.job, task_id.step, task_id.time) == (
+        other.job,
+        other.step,
+        other.time,
     )
 
 
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -20,11 +20,19 @@
 
 
 class TaskId(msgspec.Struct, frozen=True, array_like=True):
-    """Names a task: its job, the number of its step and its own in it."""
+    """Names a task.
+
+    Attributes:
+        job: the key of its job.
+        step: the number of its step.
+        index: its own within the step.
+        time: of the job's schedule, 0 where there is none.
+    """
 
     job: str
     step: int
     index: int
+    time: int = 0
 
 
 class RunState(enum.Enum):
@@ -82,8 +90,8 @@
         "was_moved",
     )
 
-    def __init__(self, job: "OpenJob", number: int, index: int, step: Step):
-        self.id = TaskId(job.job.key, number, index)
+    def __init__(self, job: "OpenJob", task_id: TaskId, step: Step):
+        self.id = task_id
         self.job = job
         self.step = step
         self.state = TaskState.WAITING
@@ -212,7 +220,8 @@
         entries: the entries that wait for its end.
         arrived_ms: when it arrived at its first entry.
         first_run: the number of each task's first run.
-        tasks: its tasks by step.
+        released: how many of its times have come due.
+        tasks: its tasks by stage: by step, and that for each time.
         late_at_ms: when too little time is left to end it in time.
         is_late: whether that time has come; it then goes after all others.
         is_offered: whether any task of it was given to a worker.
@@ -244,6 +253,7 @@
         "longest_runs_ms",
         "outcome",
         "placed_on",
+        "released",
         "starts",
         "tasks",
         "unstored_ends",
@@ -266,8 +276,13 @@
         self.longest_runs_ms = [0.0] * len(job.steps)
         self.starts = 0
         self.placed_on: set[str] = set()
+        self.released = 0 if job.schedule else 1
         self.tasks = [
-            [Task(self, number, index, step) for index in range(step.count)]
+            [
+                Task(self, TaskId(job.key, number, index, time), step)
+                for index in range(step.count)
+            ]
+            for time in range(job.times)
             for number, step in enumerate(job.steps)
         ]
 
@@ -291,43 +306,69 @@
         longest = self.longest_runs_ms
         longest[step] = max(longest[step], took_ms)
 
+    def release(self, wall_ms: float) -> bool:
+        """Lets the times begin that are due; returns whether any is new."""
+        schedule = self.job.schedule
+        before = self.released
+        while self.released < self.job.times:
+            if wall_ms < schedule.due_ms(self.released):
+                break
+            self.released += 1
+        return self.released > before
+
+    # Tasks.
+
+    def tasks_of(self, task_id: TaskId) -> list[Task]:
+        """Returns the tasks of a task's step and time."""
+        return self.tasks[self.job.stage_of(task_id.step, task_id.time)]
+
+    def task_of(self, task_id: TaskId) -> Task:
+        """Returns the task of a name."""
+        return self.tasks_of(task_id)[task_id.index]
+
     def all_tasks(self) -> list[Task]:
         """Returns its tasks."""
-        return [task for step in self.tasks for task in step]
+        return [task for tasks in self.tasks for task in tasks]
 
-    def is_step_done(self, number: int) -> bool:
-        """Tells whether all tasks of a step have ended."""
-        return all(t.state is TaskState.DONE for t in self.tasks[number])
+    def is_stage_done(self, stage: int) -> bool:
+        """Tells whether all tasks of a step have ended, at one time."""
+        return all(t.state is TaskState.DONE for t in self.tasks[stage])
 
     @property
     def is_done(self) -> bool:
         """Whether all its tasks have ended."""
-        return all(self.is_step_done(n) for n in range(len(self.tasks)))
+        return all(self.is_stage_done(n) for n in range(len(self.tasks)))
 
     def waiting_steps(self) -> list[list[Task]]:
         """Returns the tasks, by step, that may be placed now.
 
         Of a gang that is all of them, or none while a run of it goes on.
         """
-        ready: list[list[Task]] = []
-        for number, step in enumerate(self.job.steps):
-            if not all(self.is_step_done(before) for before in step.after):
-                continue
-            waiting = [
-                task
-                for task in self.tasks[number]
-                if task.state is TaskState.WAITING
-            ]
-            is_whole = len(waiting) == step.count
-            if waiting and (is_whole or not step.is_gang):
-                ready.append(waiting)
-        return ready
+        ready = [
+            self._waiting_of(number, step, time)
+            for time in range(self.released)
+            for number, step in enumerate(self.job.steps)
+        ]
+        return [tasks for tasks in ready if tasks]
+
+    def _waiting_of(self, number: int, step: Step, time: int) -> list[Task]:
+        job = self.job
+        for before in step.after:
+            if not self.is_stage_done(job.stage_of(before, time)):
+                return []
+        waiting = [
+            task
+            for task in self.tasks[job.stage_of(number, time)]
+            if task.state is TaskState.WAITING
+        ]
+        is_whole = len(waiting) == step.count
+        return waiting if is_whole or not step.is_gang else []
 
     # Ends.
 
     def gang_of(self, task: Task) -> list[Task]:
         """Returns the tasks that work jointly with one, itself among them."""
-        return self.tasks[task.id.step] if task.step.is_gang else [task]
+        return self.tasks_of(task.id) if task.step.is_gang else [task]
 
     def note_done(self, task: Task) -> list[Task]:
         """Notes that a task has ended well; returns those that did with it."""
@@ -353,8 +394,8 @@
     def partial_gangs(self) -> list["Run"]:
         """Returns the runs of gangs some of whose tasks are not placed."""
         runs: list[Run] = []
-        for step, tasks in zip(self.job.steps, self.tasks, strict=True):
+        for tasks in self.tasks:
             is_waiting = any(one.state is TaskState.WAITING for one in tasks)
-            if step.is_gang and is_waiting:
+            if tasks[0].step.is_gang and is_waiting:
                 runs += self.runs_of_gang(tasks[0])
         return runs
--- a/packages/testbed/src/clayfield/testbed/fakeworker.py
+++ b/packages/testbed/src/clayfield/testbed/fakeworker.py
@@ -31,7 +31,8 @@
 
 def write_checkpoint(task_id: TaskId, done_ms: float) -> str:
     """Returns a checkpoint of a task."""
-    return f"{task_id.job}/{task_id.step}/{task_id.index}/{done_ms}"
+    numbers = f"{task_id.time}/{task_id.step}/{task_id.index}"
+    return f"{task_id.job}/{numbers}/{done_ms}"
 
 
 def read_checkpoint(text: str, task_id: TaskId) -> float:
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -50,6 +50,7 @@
     Limits,
     Route,
     RoutingTable,
+    Schedule,
     Step,
     WorkerInfo,
     WorkerState,
@@ -169,6 +170,7 @@
         steps: int = 1,
         is_kept: bool = False,
         template: Step = USUAL_STEP,
+        schedule: Schedule | None = None,
     ) -> None:
         """Hands a job to an entry, each step after the one before.
 
@@ -179,6 +181,7 @@
             steps: how many.
             is_kept: whether the job is kept.
             template: what each step is like.
+            schedule: when the steps run, None for once and at once.
         """
         waiter = self._wait(key)
         chain = tuple(
@@ -202,6 +205,7 @@
             60.0,
             CALLERS_PATIENCE_MS,
             is_kept,
+            schedule,
         )
         self.entries[node].submit(job, waiter)
         self._carry_out(node)
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# The most tasks that a job may have, over all its steps and times.
+MAX_TASKS = 20_000
+
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
     """Tasks of one kind within a job.
@@ -43,6 +46,24 @@
     is_lasting: bool = False
 
 
+class Schedule(msgspec.Struct, frozen=True, array_like=True):
+    """When the steps of a job run, by the time of day.
+
+    Attributes:
+        repeats: how many times they run.
+        start_ms: when the first time is due, since 1970.
+        interval_ms: between the times; they may overlap.
+    """
+
+    repeats: int
+    start_ms: float
+    interval_ms: float
+
+    def due_ms(self, time: int) -> float:
+        """Returns when a time, counted from 0, is due."""
+        return self.start_ms + time * self.interval_ms
+
+
 class Job(msgspec.Struct, frozen=True, array_like=True):
     """A job of steps.
 
@@ -59,6 +80,7 @@
         timeout_ms: when its caller stops waiting, from its arrival.
         is_kept: whether its caller is answered once it is on stable storage
             and asks for its state later; else once it has ended.
+        schedule: when its steps run; None for once and at once.
     """
 
     key: str
@@ -72,6 +94,21 @@
     target_ms: float
     timeout_ms: float
     is_kept: bool = False
+    schedule: Schedule | None = None
+
+    @property
+    def times(self) -> int:
+        """How many times its steps run."""
+        return self.schedule.repeats if self.schedule else 1
+
+    @property
+    def task_count(self) -> int:
+        """How many tasks it has, over all its steps and times."""
+        return self.times * sum(step.count for step in self.steps)
+
+    def stage_of(self, step: int, time: int) -> int:
+        """Returns the number of a step at a time among those of all times."""
+        return time * len(self.steps) + step
 
 
 class Verdict(enum.IntEnum):
--- a/packages/wire/src/clayfield/wire/ledger.py
+++ b/packages/wire/src/clayfield/wire/ledger.py
@@ -25,6 +25,7 @@
         index: of the task within its step.
         run: the number of the run, which rises with each run of the task.
         is_done: whether it ended well; else it failed.
+        time: of the job's schedule.
     """
 
     key: str
@@ -32,6 +33,7 @@
     index: int
     run: int
     is_done: bool
+    time: int = 0
 
 
 class CancelAccepted(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -44,9 +46,16 @@
 
 
 class TaskFailures(msgspec.Struct, array_like=True):
-    """How often a task has failed, and the latest run that did."""
+    """How often a task has failed, and the latest run that did.
 
-    step: int
+    Attributes:
+        stage: the number of its step among those of all times.
+        index: of the task within its step.
+        count: how often.
+        last_run: the latest that did.
+    """
+
+    stage: int
     index: int
     count: int
     last_run: int
@@ -57,7 +66,7 @@
 
     Attributes:
         job: what was asked for.
-        done: by step the indices of the tasks that are done.
+        done: by stage the indices of the tasks that are done.
         failures: of its tasks that have failed.
         age_ms: how long the teller has known it.
     """
--- /dev/null
+++ b/tests/test_timed.py
@@ -0,0 +1,124 @@
+"""Jobs that run at given times, on a manual clock."""
+
+import msgspec
+import pytest
+
+from clayfield.pool import EndKind
+from clayfield.testbed.poolsite import USUAL_STEP, PoolSite
+from clayfield.wire.jobs import JobState, Schedule
+
+HALLS = ("a", "b", "c")
+HOLDER = "a-0/1"
+STANDBYS = {"b": "b-0/1", "c": "c-0/1"}
+WALL_MS = 1_700_000_000_000.0
+TICK_MS = 25
+INTERVAL_MS = 1000.0
+FIRST_DELAY_MS = 500.0
+
+
+def _site(seed=1):
+    site = PoolSite(HALLS, 2, seed)
+    site.clock.wall_offset_ms = WALL_MS
+    site.grant(HOLDER, STANDBYS)
+    site.run(4000)
+    return site
+
+
+def _submit(site, repeats=4, steps=1, estimate_ms=60.0):
+    start_ms = site.clock.wall_ms() + FIRST_DELAY_MS
+    template = msgspec.structs.replace(USUAL_STEP, estimate_ms=estimate_ms)
+    schedule = Schedule(repeats, start_ms, INTERVAL_MS)
+    site.submit("b-1/1", "job", 2, steps, True, template, schedule)
+    return start_ms - WALL_MS
+
+
+def _starts(site):
+    """Returns the earliest start of each time, by the steady clock."""
+    starts = {}
+    for ran in site.ran:
+        time = ran.task_id.time
+        starts[time] = min(starts.get(time, ran.start_ms), ran.start_ms)
+    return starts
+
+
+def _state(site):
+    site.ask("c-1/1", "job")
+    site.run(250)
+    return site.states["job"]
+
+
+def _assert_sound(site):
+    assert site.runs_together() == []
+    assert site.started_after_done() == []
+
+
+def test_each_time_starts_when_it_is_due():
+    site = _site()
+    first_ms = _submit(site, steps=2)
+    site.run(300)
+    assert site.ran == []
+    assert _state(site) is JobState.QUEUED
+    site.run(2500)
+    assert _state(site) is JobState.RUNNING
+    site.run(2000)
+    for time, start_ms in _starts(site).items():
+        due_ms = first_ms + time * INTERVAL_MS
+        assert due_ms <= start_ms <= due_ms + TICK_MS
+    assert len(site.ends("job", EndKind.DONE)) == 16
+    assert _state(site) is JobState.COMPLETED
+    _assert_sound(site)
+
+
+def test_times_may_overlap():
+    site = _site()
+    for worker in site.workers.values():
+        worker.task_ms = 2500
+    _submit(site, repeats=3, estimate_ms=2500.0)
+    site.run(2900)
+    assert {ran.task_id.time for ran in site.ran} == {0, 1, 2}
+    assert all(ran.end_ms is None for ran in site.ran)
+    site.run(3000)
+    assert _state(site) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("jump_ms", [-3000.0, 3000.0])
+def test_the_time_of_day_may_jump_and_return(jump_ms):
+    site = _site()
+    first_ms = _submit(site)
+    site.run(1000)
+    site.clock.wall_offset_ms += jump_ms
+    site.run(1000)
+    site.clock.wall_offset_ms -= jump_ms
+    site.run(6000)
+    for time, start_ms in _starts(site).items():
+        assert start_ms >= first_ms + time * INTERVAL_MS - max(0.0, jump_ms)
+    assert len(site.ends("job", EndKind.DONE)) == 8
+    assert _state(site) is JobState.COMPLETED
+    _assert_sound(site)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_new_holder_goes_on_with_the_times_that_are_left(seed):
+    site = _site(seed)
+    first_ms = _submit(site, steps=2)
+    site.run(300 + 250 * seed)
+    site.kill(HOLDER)
+    site.run(150)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(9000)
+    _assert_sound(site)
+    for time, start_ms in _starts(site).items():
+        assert start_ms >= first_ms + time * INTERVAL_MS
+    done = {ran.task_id for ran in site.ends("job", EndKind.DONE)}
+    assert len(done) == 16
+    assert _state(site) is JobState.COMPLETED
+
+
+def test_a_cancel_ends_the_times_that_are_left():
+    site = _site()
+    _submit(site)
+    site.run(1000)
+    site.cancel("a-1/1", "job")
+    site.run(6000)
+    assert {ran.task_id.time for ran in site.ran} == {0}
+    assert _state(site) is JobState.CANCELLED
