Ask the advisor which workers may run the steps of advised queues

What: a queue may be advised. A ticket serves all tasks of its step; who is not named is not asked about again; one that a worker rejects, or that is about to end, is asked for anew.

Tests: 20 on a manual clock with an advisor that takes its time, is busy and whose tickets end: no start without a ticket that holds, one question a step of six tasks.

--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -27,6 +27,7 @@
     AnswerCaller,
     AnswerCancel,
     AnswerState,
+    AskAdvisor,
     Dial,
     Entry,
     HoldWorker,
@@ -96,7 +97,12 @@
             self,
         )
         self._orders = WorkerOrders(
-            reactor, self._clock, workers, self._entry, self.kick
+            reactor,
+            self._clock,
+            workers,
+            self._entry,
+            self.kick,
+            place_text(cfg.advisor) if cfg.advisor else "",
         )
         self._server = HttpServer(reactor, self._on_request, self._bounds)
         self._readiness = HttpServer(reactor, self._on_readiness, HttpBounds)
@@ -304,6 +310,8 @@
                     self._orders.hold(action)
                 case StopRun():
                     self._orders.stop(action)
+                case AskAdvisor():
+                    self._orders.ask(action)
                 case AnswerCaller(waiter=waiter, ended=ended):
                     self._answer_job(waiter, ended)
                 case AnswerCancel(waiter=waiter, is_known=is_known):
--- a/packages/node/src/clayfield/node/faces.py
+++ b/packages/node/src/clayfield/node/faces.py
@@ -9,6 +9,8 @@
 from clayfield.node.httpclient import CallAnswer
 from clayfield.node.httpserver import HttpRequest
 from clayfield.pool import (
+    Advice,
+    AskAdvisor,
     HoldAnswer,
     HoldWorker,
     OrderAnswer,
@@ -180,6 +182,14 @@
     def write_hold(self, order: HoldWorker) -> bytes:
         """Returns the request that renews a lease and asks what runs."""
 
+    @abc.abstractmethod
+    def write_question(self, ask: AskAdvisor, address: str) -> bytes:
+        """Returns the request that asks the advisor."""
+
+    @abc.abstractmethod
+    def read_advice(self, answer: CallAnswer) -> Advice:
+        """Returns what the advisor says."""
+
     @abc.abstractmethod
     def read_order_answer(self, answer: CallAnswer) -> OrderAnswer:
         """Returns how a worker took a start or a stop."""
--- a/packages/node/src/clayfield/node/main.py
+++ b/packages/node/src/clayfield/node/main.py
@@ -40,6 +40,7 @@
     Setting("callers", _optional_place, "", "IP:PORT for callers; entries"),
     Setting("readiness", _optional_place, "", "IP:PORT for readiness; entries"),
     Setting("operators", _optional_place, "", "IP:PORT; control nodes"),
+    Setting("advisor", _optional_place, "", "IP:PORT of the advisor; entries"),
     Setting("metrics", _optional_place, "", "IP:PORT for figures"),
     Setting("data_folder", str, "", "folder for state; control nodes"),
     Setting("first_start", yes_or_no, "no", "the whole cluster is new"),
--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -184,6 +184,7 @@
         said.timeout_ms or route.timeout_ms,
         said.keep,
         said.schedule,
+        route.is_advised,
     )
     if job.task_count > MAX_TASKS:
         raise ClayfieldError(Kind.TOO_LARGE, f"over {MAX_TASKS} tasks.")
--- a/packages/node/src/clayfield/node/own/operators.py
+++ b/packages/node/src/clayfield/node/own/operators.py
@@ -40,6 +40,7 @@
     priority: int = 0
     max_attempts: int = 1
     stretch: float = 1.0
+    advised: bool = False
 
 
 class _Service(msgspec.Struct, forbid_unknown_fields=True):
@@ -206,6 +207,7 @@
         queue.priority,
         queue.max_attempts,
         queue.stretch,
+        queue.advised,
     )
 
 
--- a/packages/node/src/clayfield/node/own/workers.py
+++ b/packages/node/src/clayfield/node/own/workers.py
@@ -5,6 +5,8 @@
 from clayfield.node.faces import WorkerProtocol
 from clayfield.node.httpclient import CallAnswer, CallEnd
 from clayfield.pool import (
+    Advice,
+    AskAdvisor,
     EndedRow,
     EndKind,
     HoldAnswer,
@@ -20,6 +22,7 @@
 START_PATH = "/v1/runs/start"
 STOP_PATH = "/v1/runs/stop"
 HOLD_PATH = "/v1/runs/hold"
+ADVICE_PATH = "/v1/advice"
 HTTP_OK = 200
 
 _ENDS_OF_CALLS = {
@@ -38,6 +41,7 @@
     lease_until_ms: float
     fence: int
     checkpoint: str = ""
+    ticket: str = ""
 
 
 class StopBody(msgspec.Struct):
@@ -94,6 +98,23 @@
     ended: list[EndedItem] = []
 
 
+class QuestionBody(msgspec.Struct):
+    """Asks the advisor which workers may run a step."""
+
+    job: str
+    time: int
+    step: int
+    workers: list[str]
+
+
+class AdviceBody(msgspec.Struct):
+    """The advisor's answer: tickets by the names of workers."""
+
+    tickets: dict[str, str]
+    valid_ms: float
+
+
+_advice_decoder = msgspec.json.Decoder(AdviceBody)
 _answer_decoder = msgspec.json.Decoder(WorkerAnswer)
 
 
@@ -110,6 +131,7 @@
             order.lease_until_ms,
             order.fence,
             order.checkpoint,
+            order.ticket,
         )
         return _request(START_PATH, order.address, body)
 
@@ -129,6 +151,22 @@
         )
         return _request(HOLD_PATH, order.address, body)
 
+    def write_question(self, ask: AskAdvisor, address: str) -> bytes:
+        """Returns the request that asks the advisor."""
+        body = QuestionBody(ask.job, ask.time, ask.step, ask.workers)
+        return _request(ADVICE_PATH, address, body)
+
+    def read_advice(self, answer: CallAnswer) -> Advice:
+        """Returns what the advisor says."""
+        is_answer = answer.end is CallEnd.ANSWERED
+        if not is_answer or answer.status != HTTP_OK:
+            return Advice(False)
+        try:
+            said = _advice_decoder.decode(answer.body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return Advice(False)
+        return Advice(True, said.tickets, said.valid_ms)
+
     def read_order_answer(self, answer: CallAnswer) -> OrderAnswer:
         """Returns how a worker took a start or a stop."""
         said = _read(answer)
--- a/packages/node/src/clayfield/node/settings.py
+++ b/packages/node/src/clayfield/node/settings.py
@@ -15,6 +15,8 @@
         callers: where callers connect; entries only.
         readiness: where readiness is asked for; entries only.
         operators: where operators and workers connect; control nodes only.
+        advisor: who tells which workers may run advised queues, None for
+            nobody; entries only.
         metrics: where figures are served, None for nowhere.
         data_folder: where state is kept; control nodes only.
         is_first_start: whether the whole cluster starts for the first time.
@@ -28,6 +30,7 @@
     """
 
     __slots__ = (
+        "advisor",
         "callers",
         "cluster",
         "data_folder",
@@ -57,6 +60,7 @@
         self.callers: Place | None = None
         self.readiness: Place | None = None
         self.operators: Place | None = None
+        self.advisor: Place | None = None
         self.metrics: Place | None = None
         self.data_folder = ""
         self.is_first_start = False
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -7,12 +7,21 @@
 from clayfield.base import Clock
 from clayfield.node.faces import WorkerProtocol
 from clayfield.node.httpclient import CallAnswer, ConnectionPool
-from clayfield.pool import Entry, HoldWorker, StartRun, StopRun
+from clayfield.pool import (
+    Advice,
+    AskAdvisor,
+    Entry,
+    HoldWorker,
+    StartRun,
+    StopRun,
+)
 
 # How long an order may go without an answer before it counts as lost.
 ORDER_TIMEOUT_S = 0.15
 # What a hold may take beyond the time that it is told to wait.
 HOLD_SLACK_S = 0.25
+# How long the advisor may take, which answers one question after the other.
+ADVICE_TIMEOUT_S = 5.0
 MS_PER_S = 1000.0
 IDLE_POOL_S = 30.0
 
@@ -30,12 +39,14 @@
         protocol: WorkerProtocol,
         entry: Entry,
         kick: Kick,
+        advisor: str = "",
     ):
         self._reactor = reactor
         self._clock = clock
         self._protocol = protocol
         self._entry = entry
         self._kick = kick
+        self._advisor = advisor
         self._pools: dict[str, ConnectionPool] = {}
         self._used_s: dict[str, float] = {}
 
@@ -86,6 +97,20 @@
         timeout_s = order.wait_ms / MS_PER_S + HOLD_SLACK_S
         self._call(order.address, request, timeout_s, on_answer)
 
+    def ask(self, question: AskAdvisor) -> None:
+        """Asks the advisor; where there is none, that is the answer."""
+
+        def on_answer(answer: CallAnswer) -> None:
+            advice = self._protocol.read_advice(answer)
+            self._entry.on_advice(question.call, advice)
+            self._kick()
+
+        if not self._advisor:
+            self._entry.on_advice(question.call, Advice(False))
+            return
+        request = self._protocol.write_question(question, self._advisor)
+        self._call(self._advisor, request, ADVICE_TIMEOUT_S, on_answer)
+
     def _call(
         self,
         address: str,
--- a/packages/pool/src/clayfield/pool/__init__.py
+++ b/packages/pool/src/clayfield/pool/__init__.py
@@ -12,6 +12,8 @@
 )
 from clayfield.pool.entry import Entry
 from clayfield.pool.orders import (
+    Advice,
+    AskAdvisor,
     EndedRow,
     EndKind,
     HoldAnswer,
@@ -28,9 +30,11 @@
 from clayfield.pool.timing import PoolTiming
 
 __all__ = [
+    "Advice",
     "AnswerCaller",
     "AnswerCancel",
     "AnswerState",
+    "AskAdvisor",
     "Dial",
     "EndKind",
     "EndedRow",
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -5,6 +5,7 @@
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
 from clayfield.pool.admission import OVERHEAD_MS, Admission
+from clayfield.pool.advice import Advisor
 from clayfield.pool.fleet import (
     Fleet,
     FleetListener,
@@ -14,7 +15,13 @@
 from clayfield.pool.jobtable import JobTable
 from clayfield.pool.kept import KeptJobs
 from clayfield.pool.ledger import JobLedger
-from clayfield.pool.orders import EndedRow, EndKind, PoolAction, TellEntry
+from clayfield.pool.orders import (
+    Advice,
+    EndedRow,
+    EndKind,
+    PoolAction,
+    TellEntry,
+)
 from clayfield.pool.placement import RoomSearch
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import PoolTiming
@@ -46,6 +53,7 @@
 
     Attributes:
         fleet: the workers.
+        advisor: knows which workers may run advised jobs.
         kept: the kept jobs; None for a stand-by, which runs none.
         is_fenced: whether a worker obeys a higher fence than this holder's.
     """
@@ -71,6 +79,7 @@
         is_standby = ledger is None
         self.fleet = Fleet(clock, timing, self, fence, is_standby)
         self.is_fenced = False
+        self.advisor = Advisor(clock)
         self._jobs = JobTable()
         self._admission = Admission()
         self.kept: KeptJobs | None = None
@@ -97,8 +106,9 @@
 
     def take_actions(self) -> list[PoolAction]:
         """Returns what is to be done since the last call."""
-        actions = self.fleet.actions[:]
+        actions = self.fleet.actions + self.advisor.actions
         self.fleet.actions.clear()
+        self.advisor.actions.clear()
         if self.kept:
             self.kept.ledger.flush()
             actions += self.kept.ledger.actions
@@ -248,6 +258,16 @@
             took_ms * worker.speed,
         )
 
+    def on_advice(self, call: int, advice: Advice) -> None:
+        """Takes the advisor's answer."""
+        self.advisor.on_advice(call, advice)
+        self._is_changed = True
+
+    def on_ticket_rejected(self, run: Run, worker: Worker) -> None:
+        """Learns that a worker did not take the advisor's ticket."""
+        if run.task is not None:
+            self.advisor.on_rejected(run.task, worker.name)
+
     def on_fenced(self, worker: Worker) -> None:
         """Learns that a worker obeys a higher fence."""
         self.is_fenced = True
@@ -425,7 +445,8 @@
         self._is_changed = False
         self._jobs.is_changed = False
         now_ms = self._clock.now_ms()
-        room = RoomSearch(self.fleet.workers.values(), now_ms)
+        workers = self.fleet.workers.values()
+        room = RoomSearch(workers, self.advisor, now_ms)
         misses = 0
         for opened in self._jobs.waiting():
             if not opened.is_placeable or not self._may_place(opened):
@@ -473,7 +494,10 @@
     def _start(self, worker: Worker, task: Task) -> None:
         opened = task.job
         expected_ms = self._admission.expected_ms(opened.job, task)
-        self.fleet.start(worker, task, expected_ms)
+        ticket = ""
+        if opened.job.is_advised:
+            ticket = self.advisor.ticket(task, worker.name)
+        self.fleet.start(worker, task, expected_ms, ticket)
         task.state = TaskState.PLACED
         opened.is_offered = True
         opened.starts += 1
@@ -498,6 +522,7 @@
         key = opened.job.key
         opened.is_ended = True
         self._jobs.remove(key)
+        self.advisor.forget(opened)
         self._unsettled.pop(key, None)
         self._log_end(opened, verdict, reason)
         ended = JobEnded(key, verdict, reason, retry_after_ms)
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -11,7 +11,7 @@
 from clayfield.pool.dispatcher import Dispatcher
 from clayfield.pool.kept import KeptJobs
 from clayfield.pool.ledger import JobLedger
-from clayfield.pool.orders import HoldAnswer, OrderAnswer, TellEntry
+from clayfield.pool.orders import Advice, HoldAnswer, OrderAnswer, TellEntry
 from clayfield.pool.role import CONTROL_ROLE, ENTRY_ROLE, Role
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
@@ -394,6 +394,11 @@
         if self.dispatcher:
             self.dispatcher.fleet.on_hold_answer(name, call, sent_ms, answer)
 
+    def on_advice(self, call: int, advice: Advice) -> None:
+        """Takes the advisor's answer."""
+        if self.dispatcher:
+            self.dispatcher.on_advice(call, advice)
+
     # Actions.
 
     def take_actions(self) -> list[EntryAction]:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -68,6 +68,10 @@
     def on_foreign_end(self, row: EndedRow, worker: Worker) -> None:
         """Learns of the end of a run that an earlier holder began."""
 
+    @abc.abstractmethod
+    def on_ticket_rejected(self, run: Run, worker: Worker) -> None:
+        """Learns that a worker did not take the advisor's ticket."""
+
     @abc.abstractmethod
     def on_fenced(self, worker: Worker) -> None:
         """Learns that a worker obeys a higher fence."""
@@ -174,7 +178,9 @@
 
     # Orders.
 
-    def start(self, worker: Worker, task: Task, work_ms: float) -> None:
+    def start(
+        self, worker: Worker, task: Task, work_ms: float, ticket: str = ""
+    ) -> None:
         """Starts a task's next run at a worker that has room."""
         now_ms = self._clock.now_ms()
         task.last_run += 1
@@ -196,6 +202,7 @@
                 worker.lease_until(now_ms, lease_ms),
                 self.fence,
                 task.checkpoint,
+                ticket,
             )
         )
 
@@ -269,6 +276,9 @@
                 self._end(worker, run, RunEnd.LOST)
             case OrderResult.BAD_ORDER:
                 self._end(worker, run, RunEnd.FAILED)
+            case OrderResult.NO_TICKET:
+                self._listener.on_ticket_rejected(run, worker)
+                self._end(worker, run, RunEnd.LOST)
             case _:
                 self._end(worker, run, RunEnd.LOST)
         self._note_result(worker, answer.result)
--- a/packages/pool/src/clayfield/pool/orders.py
+++ b/packages/pool/src/clayfield/pool/orders.py
@@ -20,6 +20,7 @@
     FENCED = "fenced"
     BAD_ORDER = "bad-order"
     UNHEALTHY = "unhealthy"
+    NO_TICKET = "no-ticket"
     GONE = "gone"
     UNREACHED = "unreached"
     LOST = "lost"
@@ -138,6 +139,7 @@
             worker's clock.
         fence: of the holder.
         checkpoint: of the progress to go on from, "" for none.
+        ticket: of the advisor, "" where none is wanted.
     """
 
     __slots__ = (
@@ -148,6 +150,7 @@
         "number",
         "spec",
         "task_id",
+        "ticket",
         "worker",
     )
 
@@ -161,6 +164,7 @@
         lease_until_ms: float,
         fence: int,
         checkpoint: str = "",
+        ticket: str = "",
     ):
         self.worker = worker
         self.address = address
@@ -170,6 +174,7 @@
         self.lease_until_ms = lease_until_ms
         self.fence = fence
         self.checkpoint = checkpoint
+        self.ticket = ticket
 
 
 class StopRun:
@@ -234,6 +239,51 @@
         self.call = call
 
 
+class AskAdvisor:
+    """Ask the advisor which workers may run a step.
+
+    Attributes:
+        call: numbers the questions.
+        job: the key of the job.
+        time: of the job's schedule.
+        step: the number of the step.
+        workers: the names of those that are asked about.
+    """
+
+    __slots__ = ("call", "job", "step", "time", "workers")
+
+    def __init__(
+        self, call: int, job: str, time: int, step: int, workers: list[str]
+    ):
+        self.call = call
+        self.job = job
+        self.time = time
+        self.step = step
+        self.workers = workers
+
+
+class Advice:
+    """The advisor's answer.
+
+    Attributes:
+        is_answer: whether it is one; else the advisor was busy or silent.
+        tickets: by name, of the workers that may run the step.
+        valid_ms: how long the tickets hold.
+    """
+
+    __slots__ = ("is_answer", "tickets", "valid_ms")
+
+    def __init__(
+        self,
+        is_answer: bool,
+        tickets: dict[str, str] | None = None,
+        valid_ms: float = 0.0,
+    ):
+        self.is_answer = is_answer
+        self.tickets = tickets or {}
+        self.valid_ms = valid_ms
+
+
 class TellEntry:
     """Send a message to an entry."""
 
@@ -244,4 +294,4 @@
         self.message = message
 
 
-PoolAction = StartRun | StopRun | HoldWorker | TellEntry
+PoolAction = StartRun | StopRun | HoldWorker | AskAdvisor | TellEntry
--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from clayfield.pool.advice import Advisor
 from clayfield.pool.tasks import Run, RunState, Task, TaskId
 from clayfield.pool.worker import Worker
 from clayfield.wire.jobs import Step
@@ -17,9 +18,12 @@
     much or more will find one.
     """
 
-    __slots__ = ("_misses", "_open")
+    __slots__ = ("_advisor", "_misses", "_open")
 
-    def __init__(self, workers: Iterable[Worker], now_ms: float):
+    def __init__(
+        self, workers: Iterable[Worker], advisor: Advisor, now_ms: float
+    ):
+        self._advisor = advisor
         self._open = [one for one in workers if one.is_open(now_ms)]
         self._misses: dict[tuple[str, str], list[Step]] = {}
 
@@ -33,37 +37,54 @@
         misses = self._misses.setdefault(kind, [])
         if any(_asks_as_much(task.step, missed) for missed in misses):
             return None
-        candidates = [one for one in self._open if may_run(task, one)]
+        may_run_now = self._allowed(task)
+        candidates = [one for one in may_run_now if may_run(task, one)]
         if not candidates:
-            if not task.step.max_per_worker and not task.avoided:
+            if task.job.job.is_advised:
+                self._advisor.ask(task, self._open)
+            elif not task.step.max_per_worker:
                 misses.append(task.step)
             return None
         return min(candidates, key=lambda worker: _score(task, worker))
 
+    def _allowed(self, task: Task) -> list[Worker]:
+        """Returns the open workers that the advisor lets run a task."""
+        if not task.job.job.is_advised:
+            return self._open
+        return [
+            worker
+            for worker in self._open
+            if self._advisor.ticket(task, worker.name)
+        ]
+
     def find_together(self, tasks: list[Task]) -> list[Worker] | None:
         """Returns workers for all tasks of a gang at once, None if none.
 
         Where the gang wants one rack, racks are tried before all workers.
         """
-        groups = [self._open]
+        allowed = self._allowed(tasks[0])
+        groups = [allowed]
         if tasks[0].step.wants_one_rack:
-            groups = [*self._racks(), self._open]
+            groups = [*_racks(allowed), allowed]
         for group in groups:
             found = _find_all(tasks, group)
             if found:
                 return found
+        if tasks[0].job.job.is_advised:
+            self._advisor.ask(tasks[0], self._open)
         return None
 
-    def _racks(self) -> list[list[Worker]]:
-        """Returns the workers by rack, the rack with most room first."""
-        by_rack: dict[str, list[Worker]] = {}
-        for worker in self._open:
-            by_rack.setdefault(worker.info.rack, []).append(worker)
-        by_rack.pop("", None)
-        return sorted(
-            by_rack.values(),
-            key=lambda rack: -sum(worker.free_cpu for worker in rack),
-        )
+
+def _racks(workers: list[Worker]) -> list[list[Worker]]:
+    """Returns workers by rack, the rack with most room first."""
+    by_rack: dict[str, list[Worker]] = {}
+    for worker in workers:
+        by_rack.setdefault(worker.info.rack, []).append(worker)
+    by_rack.pop("", None)
+    return sorted(
+        by_rack.values(),
+        key=lambda rack: -sum(worker.free_cpu for worker in rack),
+    )
 
 
 def _find_all(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
--- a/packages/testbed/src/clayfield/testbed/fakeworker.py
+++ b/packages/testbed/src/clayfield/testbed/fakeworker.py
@@ -21,6 +21,7 @@
     StopRun,
     TaskId,
 )
+from clayfield.testbed.fakeadvisor import FakeAdvisor
 from clayfield.wire.jobs import WorkerInfo
 
 LEASE_MS = 1000.0
@@ -56,6 +57,8 @@
         ran: every run that was carried out.
         over_room: tasks that were started on a full worker.
         gangs: the gangs at work or waiting, by job and step.
+        advised: the keys of jobs that need the advisor's ticket.
+        advisor: who gives tickets.
     """
 
     clock: Clock
@@ -63,6 +66,8 @@
     ran: list["RanTask"]
     over_room: list[TaskId]
     gangs: dict[tuple[str, int], "FakeGang"]
+    advised: set[str]
+    advisor: FakeAdvisor
 
     def after(self, delay_ms: float, act: Callable[[], None]) -> None:
         """Has something happen later."""
@@ -173,6 +178,9 @@
         running = self._running.get(order.task_id)
         if running and running.number == order.number:
             return OrderResult.DONE
+        is_advised = order.task_id.job in self._site.advised
+        if is_advised and not self._site.advisor.accepts(order):
+            return OrderResult.NO_TICKET
         if self._highest.get(order.task_id, 0) >= order.number:
             return OrderResult.OLD_RUN
         if len(self._running) * PLACE_CPU + PLACE_CPU > self.info.cpu:
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -12,9 +12,11 @@
 import msgspec
 
 from clayfield.pool import (
+    Advice,
     AnswerCaller,
     AnswerCancel,
     AnswerState,
+    AskAdvisor,
     EndKind,
     Entry,
     HoldAnswer,
@@ -27,6 +29,7 @@
     TaskId,
     TellEntry,
 )
+from clayfield.testbed.fakeadvisor import FakeAdvisor
 from clayfield.testbed.fakeleader import FakeLeader
 from clayfield.testbed.fakeworker import (
     LEASE_MS,
@@ -78,6 +81,8 @@
         ran: every run that a worker carried out.
         over_room: tasks that were started on a full worker.
         gangs: by job and step.
+        advised: the keys of jobs that need the advisor's ticket.
+        advisor: who gives tickets.
         ended: by job how it ended for its caller, and when.
         leader: keeps the record of kept jobs.
         states: by job what its caller was told last, None for unknown.
@@ -91,6 +96,8 @@
         self.ran: list[RanTask] = []
         self.over_room: list[TaskId] = []
         self.gangs: dict[tuple[str, int], FakeGang] = {}
+        self.advised: set[str] = set()
+        self.advisor = FakeAdvisor(self.clock, self.after, self.rng)
         self.ended: dict[str, tuple[float, JobEnded]] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.entries: dict[str, Entry] = {}
@@ -171,6 +178,7 @@
         is_kept: bool = False,
         template: Step = USUAL_STEP,
         schedule: Schedule | None = None,
+        is_advised: bool = False,
     ) -> None:
         """Hands a job to an entry, each step after the one before.
 
@@ -182,6 +190,7 @@
             is_kept: whether the job is kept.
             template: what each step is like.
             schedule: when the steps run, None for once and at once.
+            is_advised: whether the advisor says which workers may run it.
         """
         waiter = self._wait(key)
         chain = tuple(
@@ -206,7 +215,10 @@
             CALLERS_PATIENCE_MS,
             is_kept,
             schedule,
+            is_advised,
         )
+        if is_advised:
+            self.advised.add(key)
         self.entries[node].submit(job, waiter)
         self._carry_out(node)
 
@@ -340,6 +352,8 @@
                     self._stop(entry, action)
                 case HoldWorker():
                     self._hold(entry, action)
+                case AskAdvisor():
+                    self._ask_advisor(entry, action)
                 case AnswerCaller(waiter=waiter, ended=ended):
                     self._answered(waiter, ended)
                 case AnswerCancel(waiter=waiter, is_known=is_known):
@@ -389,6 +403,12 @@
 
         self.after(DELAY_MS, arrive)
 
+    def _ask_advisor(self, entry: Entry, question: AskAdvisor) -> None:
+        def answer(advice: Advice) -> None:
+            self._tell(entry, lambda: entry.on_advice(question.call, advice))
+
+        self.after(DELAY_MS, lambda: self.advisor.ask(question, answer))
+
     def _start(self, entry: Entry, order: StartRun) -> None:
         worker = self._reach(entry, order.worker)
 
--- a/packages/testbed/src/clayfield/testbed/poolworkers.py
+++ b/packages/testbed/src/clayfield/testbed/poolworkers.py
@@ -35,6 +35,7 @@
     StopRun,
 )
 from clayfield.pool.tasks import TaskId
+from clayfield.testbed.fakeadvisor import FakeAdvisor
 from clayfield.testbed.fakeworker import FakeGang, FakeWorker, RanTask
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
@@ -53,6 +54,8 @@
         ran: every run that was carried out.
         over_room: tasks that were started on a full worker.
         gangs: none, as these workers do not know of each other.
+        advised: none.
+        advisor: is not asked.
         rng: unused by workers that are well.
     """
 
@@ -61,7 +64,9 @@
         self.ran: list[RanTask] = []
         self.over_room: list[TaskId] = []
         self.gangs: dict[tuple[str, int], FakeGang] = {}
+        self.advised: set[str] = set()
         self.rng = random.Random(0)
+        self.advisor = FakeAdvisor(self.clock, self.after, self.rng)
 
     def after(self, delay_ms: float, act: object) -> None:
         """Has something happen later."""
@@ -111,6 +116,7 @@
             body.lease_until_ms,
             body.fence,
             body.checkpoint,
+            body.ticket,
         )
         self._answer(request, self._worker.start(order))
 
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -81,6 +81,7 @@
         is_kept: whether its caller is answered once it is on stable storage
             and asks for its state later; else once it has ended.
         schedule: when its steps run; None for once and at once.
+        is_advised: whether only workers that the advisor names may run it.
     """
 
     key: str
@@ -95,6 +96,7 @@
     timeout_ms: float
     is_kept: bool = False
     schedule: Schedule | None = None
+    is_advised: bool = False
 
     @property
     def times(self) -> int:
@@ -191,7 +193,11 @@
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
-    """A queue: which requests belong to it and how they are served."""
+    """A queue: which requests belong to it and how they are served.
+
+    Attributes:
+        is_advised: whether only workers that the advisor names may run it.
+    """
 
     name: str
     host: str
@@ -202,6 +208,7 @@
     priority: int
     max_attempts: int
     stretch: float
+    is_advised: bool = False
 
 
 class Service(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,97 @@
+"""Advised jobs on a manual clock: only where the advisor lets them run."""
+
+import msgspec
+import pytest
+
+from clayfield.testbed.poolsite import USUAL_STEP, PoolSite
+from clayfield.wire.jobs import JobState
+
+HALLS = ("a", "b", "c")
+HOLDER = "a-0/1"
+STANDBYS = {"b": "b-0/1", "c": "c-0/1"}
+
+
+def _site(seed=1, task_ms=60):
+    site = PoolSite(HALLS, 3, seed)
+    site.grant(HOLDER, STANDBYS)
+    site.run(4000)
+    for worker in site.workers.values():
+        worker.task_ms = task_ms
+    return site
+
+
+def _submit(site, key, count=2, steps=1, template=USUAL_STEP):
+    site.submit("b-1/1", key, count, steps, True, template, is_advised=True)
+
+
+def _assert_completed(site, *keys):
+    for key in keys:
+        site.ask("c-1/1", key)
+    site.run(300)
+    assert {site.states[key] for key in keys} == {JobState.COMPLETED}
+    assert site.runs_together() == []
+    assert site.started_after_done() == []
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_advised_jobs_run_where_the_advisor_lets_them(seed):
+    site = _site(seed)
+    keys = [f"job-{number}" for number in range(6)]
+    for key in keys:
+        _submit(site, key, steps=2)
+        site.run(100)
+    site.run(4000)
+    _assert_completed(site, *keys)
+    assert site.advisor.rejected == 0
+    assert site.advisor.asked <= 2 * len(keys) * 2
+
+
+def test_a_ticket_serves_all_tasks_of_its_step():
+    site = _site()
+    _submit(site, "job", count=6)
+    site.run(1500)
+    _assert_completed(site, "job")
+    assert site.advisor.asked == 1
+
+
+def test_a_ticket_that_holds_no_more_is_asked_for_again():
+    site = _site(task_ms=1500)
+    template = msgspec.structs.replace(USUAL_STEP, estimate_ms=1500.0)
+    _submit(site, "job", count=16, template=template)
+    site.run(9000)
+    _assert_completed(site, "job")
+    assert site.advisor.rejected == 0
+    assert site.advisor.asked > 1
+
+
+def test_a_busy_advisor_is_asked_again_but_not_at_once():
+    site = _site()
+    site.advisor.is_busy = True
+    _submit(site, "job")
+    site.run(1000)
+    assert site.ran == []
+    site.advisor.is_busy = False
+    site.run(1000)
+    _assert_completed(site, "job")
+
+
+def test_a_gang_is_placed_where_the_advisor_lets_it():
+    site = _site()
+    template = msgspec.structs.replace(USUAL_STEP, is_gang=True)
+    _submit(site, "job", count=4, template=template)
+    site.run(1000)
+    _assert_completed(site, "job")
+    assert site.advisor.rejected == 0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_new_holder_asks_anew(seed):
+    site = _site(seed)
+    _submit(site, "job", steps=3)
+    site.run(50 + 20 * seed)
+    site.kill(HOLDER)
+    site.run(150)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(6000)
+    _assert_completed(site, "job")
+    assert site.advisor.rejected == 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,6 +27,7 @@
 from clayfield.node.httpserver import HttpRequest
 from clayfield.node.own import OwnCallers, OwnOperators
 from clayfield.pool import (
+    AskAdvisor,
     EndKind,
     HoldAnswer,
     HoldWorker,
@@ -311,6 +312,42 @@
     return lines[0], headers, json.loads(body)
 
 
+def test_a_start_brings_its_time_its_checkpoint_and_its_ticket():
+    task_id = TaskId(KEY, 1, 17, 3)
+    start = StartRun("i-1", "1.2.3.4:5", task_id, 2, "t", 9.0, 7, "00b", "c8")
+    _, _, body = _sent(PlatformWorkers().write_start(start))
+    assert body["task"] == f"{KEY}.3.1.17"
+    assert (body["checkpoint"], body["ticket"]) == ("00b", "c8")
+
+
+def test_the_advisor_is_asked_and_heard():
+    protocol = PlatformWorkers()
+    ask = AskAdvisor(1, KEY, 0, 1, ["i-1", "i-2"])
+    line, headers, body = _sent(protocol.write_question(ask, "1.2.3.4:5"))
+    assert line == "POST /-/advise HTTP/1.1"
+    assert "Clayfield-Target-Instance" not in headers
+    assert body == {"step": f"{KEY}.0.1", "workers": ["i-1", "i-2"]}
+    good = CallAnswer(
+        CallEnd.ANSWERED, 200, b'{"good":[["i-1","c81e"]],"valid_ms":3000}'
+    )
+    advice = protocol.read_advice(good)
+    assert (advice.is_answer, advice.tickets) == (True, {"i-1": "c81e"})
+    assert advice.valid_ms == 3000
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        CallAnswer(CallEnd.ANSWERED, 429, b""),
+        CallAnswer(CallEnd.ANSWERED, 200, b"{"),
+        CallAnswer(CallEnd.LOST),
+        CallAnswer(CallEnd.UNREACHED),
+    ],
+)
+def test_an_advisor_that_is_busy_or_silent_gives_no_advice(answer):
+    assert not PlatformWorkers().read_advice(answer).is_answer
+
+
 def test_orders_are_written_as_the_pages_show_them():
     protocol = PlatformWorkers()
     start = StartRun("i-1", "10.0.0.9:80", TASK, 2, "text", 486000.7, 7)
