Pass on refusals of the present holder only; hold idle workers seldom

The holder was cut off from control with its front; it refused what it had never sent to the leader, while entries had already been handed its follower and had handed the same jobs to that, which ran them. Ruled out: a write of the old epoch (the record refuses those). Entries now pass on a refusal or a give-up only from the node that has the job. Test: test_a_refusal_of_a_holder_that_was_followed_is_not_passed_on, failed first.

The holder held every worker every 400 ms and opened up to 4 connections to each: 3,910 of 4,100 descriptors, 1,010 new connections a second. Now only workers with runs are held so; idle ones share 80 holds a second, not more than 64 are asked at once, ticks look at 64 idle ones, and with more than 64 workers a task compares 16 with room.

Tests: 300 workers on a manual clock: holds a second, leases of long tasks, adoption.

--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -23,7 +23,7 @@
 # How long the advisor may take, which answers one question after the other.
 ADVICE_TIMEOUT_S = 5.0
 MS_PER_S = 1000.0
-IDLE_POOL_S = 30.0
+IDLE_POOL_S = 10.0
 
 Kick = Callable[[], None]
 OnAnswer = Callable[[CallAnswer], None]
--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -149,11 +149,21 @@
             del self._pending[key]
             self._link.tell_holder(CancelJob(0, key))
 
-    def on_job_ended(self, ended: JobEnded) -> None:
-        """Learns what the callers of a job are to be told."""
-        pending = self._pending.pop(ended.key, None)
+    def on_job_ended(self, node: str, ended: JobEnded) -> None:
+        """Learns from a node what the callers of a job are to be told.
+
+        A holder that was followed may still refuse or give up a job that its
+        follower has been handed meanwhile; only the follower can tell.
+        """
+        pending = self._pending.get(ended.key)
         if pending is None:
             return
+        is_final = ended.verdict not in (Verdict.REFUSED, Verdict.ABANDONED)
+        if is_final or pending.sent_to == node:
+            self._answer(pending, ended)
+
+    def _answer(self, pending: _Pending, ended: JobEnded) -> None:
+        del self._pending[ended.key]
         for waiter in pending.waiters:
             self.actions.append(AnswerCaller(waiter, ended))
 
@@ -165,7 +175,8 @@
     def _give_up(self, pending: _Pending, reason: Reason) -> None:
         verdict = Verdict.ABANDONED if pending.was_sent else Verdict.REFUSED
         key = pending.job.key
-        self.on_job_ended(JobEnded(key, verdict, reason, NO_HOLDER_RETRY_MS))
+        ended = JobEnded(key, verdict, reason, NO_HOLDER_RETRY_MS)
+        self._answer(pending, ended)
 
     # Jobs to the holder.
 
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -22,7 +22,7 @@
     PoolAction,
     TellEntry,
 )
-from clayfield.pool.placement import RoomSearch
+from clayfield.pool.placement import MANY_WORKERS, RoomSearch
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
@@ -373,6 +373,8 @@
         if opened.is_lasting or opened.job.schedule:
             return True
         is_late = now_ms > opened.late_at_ms
+        if not self._jobs.has_waiting and self._has_room(opened.job, now_ms):
+            return True
         forecast = self._forecast(now_ms)
         if not forecast.has_places:
             return True
@@ -382,6 +384,16 @@
                 self._admission.add_to(forecast, other, now_ms)
         return not self._is_refused(opened, forecast, now_ms)
 
+    def _has_room(self, job: Job, now_ms: float) -> bool:
+        """Tells whether all tasks of a job would find room at once.
+
+        Asked only where there are so many workers that a forecast is dear.
+        """
+        workers = self.fleet.workers.values()
+        if len(workers) <= MANY_WORKERS:
+            return False
+        return RoomSearch(workers, self.advisor, now_ms).has_room_for(job)
+
     def _forecast(self, now_ms: float) -> Forecast:
         return self._admission.places(
             self.fleet.workers.values(), self._jobs.usual_cpu, now_ms
--- a/packages/pool/src/clayfield/pool/entry.py
+++ b/packages/pool/src/clayfield/pool/entry.py
@@ -197,7 +197,7 @@
                 if self.dispatcher:
                     self.dispatcher.on_cancel(node, message)
             case JobEnded():
-                self.callers.on_job_ended(message)
+                self.callers.on_job_ended(node, message)
             case JobCancelled():
                 self.callers.on_cancelled(message)
             case StateTold():
--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -1,14 +1,18 @@
 """Which worker a task goes to."""
 
+import itertools
 from collections.abc import Iterable
 
 from clayfield.pool.advice import Advisor
 from clayfield.pool.tasks import Run, RunState, Task, TaskId
 from clayfield.pool.worker import Worker
-from clayfield.wire.jobs import Step
+from clayfield.wire.jobs import Job, Step
 
 # What a rack other than the data's costs, as a share of speed.
 FAR_RACK_SHARE = 0.67
+# With more workers than this, only some with room are compared.
+MANY_WORKERS = 64
+CANDIDATES = 16
 
 
 class RoomSearch:
@@ -18,14 +22,24 @@
     much or more will find one.
     """
 
-    __slots__ = ("_advisor", "_misses", "_open")
+    __slots__ = (
+        "_advisor",
+        "_is_open",
+        "_misses",
+        "_now_ms",
+        "_turn",
+        "_workers",
+    )
 
     def __init__(
         self, workers: Iterable[Worker], advisor: Advisor, now_ms: float
     ):
         self._advisor = advisor
-        self._open = [one for one in workers if one.is_open(now_ms)]
+        self._now_ms = now_ms
+        self._workers = list(workers)
+        self._is_open: dict[str, bool] = {}
         self._misses: dict[tuple[str, str], list[Step]] = {}
+        self._turn = int(now_ms)
 
     def find(self, task: Task) -> Worker | None:
         """Returns the worker for a task's next run, None when none has room.
@@ -37,23 +51,71 @@
         misses = self._misses.setdefault(kind, [])
         if any(_asks_as_much(task.step, missed) for missed in misses):
             return None
-        may_run_now = self._allowed(task)
-        candidates = [one for one in may_run_now if may_run(task, one)]
+        candidates = self._candidates(task)
         if not candidates:
             if task.job.job.is_advised:
-                self._advisor.ask(task, self._open)
+                self._advisor.ask(task, self._open_workers())
             elif not task.step.max_per_worker:
                 misses.append(task.step)
             return None
         return min(candidates, key=lambda worker: _score(task, worker))
 
+    def _candidates(self, task: Task) -> list[Worker]:
+        """Returns workers that may run a task now.
+
+        Where there are many workers, a few of them that differ from task to
+        task, unless the task wants one rack or the advisor names workers.
+        """
+        workers = self._allowed(task)
+        most = len(workers)
+        if most > MANY_WORKERS and not task.step.rack:
+            most = CANDIDATES
+            workers = self._from_next_turn(workers)
+        candidates: list[Worker] = []
+        for worker in workers:
+            if may_run(task, worker) and self._is_open_now(worker):
+                candidates.append(worker)
+                if len(candidates) >= most:
+                    break
+        return candidates
+
+    def _from_next_turn(self, workers: list[Worker]) -> Iterable[Worker]:
+        self._turn += CANDIDATES
+        start = self._turn % len(workers)
+        return itertools.chain(
+            itertools.islice(workers, start, None),
+            itertools.islice(workers, start),
+        )
+
+    def _is_open_now(self, worker: Worker) -> bool:
+        is_open = self._is_open.get(worker.name)
+        if is_open is None:
+            is_open = worker.is_open(self._now_ms)
+            self._is_open[worker.name] = is_open
+        return is_open
+
+    def _open_workers(self) -> list[Worker]:
+        return [one for one in self._workers if self._is_open_now(one)]
+
+    def has_room_for(self, job: Job) -> bool:
+        """Tells whether all tasks of a job would find room at once."""
+        needed = job.task_count
+        cpu = max(step.cpu for step in job.steps)
+        for worker in self._from_next_turn(self._workers):
+            is_of_service = worker.info.service == job.service
+            if is_of_service and self._is_open_now(worker):
+                needed -= worker.free_cpu // max(1, cpu)
+            if needed <= 0:
+                return True
+        return False
+
     def _allowed(self, task: Task) -> list[Worker]:
-        """Returns the open workers that the advisor lets run a task."""
+        """Returns the workers that the advisor lets run a task."""
         if not task.job.job.is_advised:
-            return self._open
+            return self._workers
         return [
             worker
-            for worker in self._open
+            for worker in self._workers
             if self._advisor.ticket(task, worker.name)
         ]
 
@@ -62,7 +124,11 @@
 
         Where the gang wants one rack, racks are tried before all workers.
         """
-        allowed = self._allowed(tasks[0])
+        allowed = [
+            worker
+            for worker in self._allowed(tasks[0])
+            if self._is_open_now(worker)
+        ]
         groups = [allowed]
         if tasks[0].step.wants_one_rack:
             groups = [*_racks(allowed), allowed]
@@ -71,7 +137,7 @@
             if found:
                 return found
         if tasks[0].job.job.is_advised:
-            self._advisor.ask(tasks[0], self._open)
+            self._advisor.ask(tasks[0], self._open_workers())
         return None
 
 
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -36,6 +36,7 @@
         is_reachable: whether the latest hold was answered.
         hold_call: the number of the latest hold.
         open_hold: the number of the waiting hold, 0 while there is none.
+        hold_wait_ms: how long the waiting hold waits.
         next_hold_ms: when to hold again.
         lease_ends_ms: when, on the holder's clock, all that it was told to
             run has surely lapsed.
@@ -59,6 +60,7 @@
         "answered_ms",
         "foreign_end_ms",
         "hold_call",
+        "hold_wait_ms",
         "info",
         "is_adopted",
         "is_gone",
@@ -89,6 +91,7 @@
         self.unreachable_since_ms = now_ms
         self.hold_call = first_call
         self.open_hold = 0
+        self.hold_wait_ms = 0
         self.next_hold_ms = now_ms
         self.lease_ends_ms = now_ms
         self.answered_ms = now_ms
--- a/packages/testbed/src/clayfield/testbed/fakeleader.py
+++ b/packages/testbed/src/clayfield/testbed/fakeleader.py
@@ -35,12 +35,16 @@
     Attributes:
         hall: where it stands.
         is_silent: whether it commits and answers nothing.
+        commit_ms: how long a write takes.
+        cut_off: the nodes that cannot reach it.
         state: the replicated state.
     """
 
     def __init__(self, clock: Clock, after: After, send: Send):
         self.hall = ""
         self.is_silent = False
+        self.commit_ms = COMMIT_MS
+        self.cut_off: set[str] = set()
         self.state = ControlState(clock)
         self._after = after
         self._send_decoded = send
@@ -56,7 +60,7 @@
 
     def on_message(self, node: str, message: Message) -> None:
         """Takes a message of an entry."""
-        if self.is_silent:
+        if self.is_silent or node in self.cut_off:
             return
         match message:
             case EntryStatus(epoch=epoch, sent_ms=sent_ms):
@@ -66,7 +70,7 @@
                 if self._is_holder(node, epoch):
                     self._send(node, self._all_jobs(request))
             case WriteJobs():
-                self._after(COMMIT_MS, lambda: self._commit(node, message))
+                self._after(self.commit_ms, lambda: self._commit(node, message))
 
     def _send(self, node: str, message: Message) -> None:
         """Sends a copy, as a stream would."""
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -80,6 +80,7 @@
         workers: by name.
         ran: every run that a worker carried out.
         over_room: tasks that were started on a full worker.
+        holds: how many were sent.
         gangs: by job and step.
         advised: the keys of jobs that need the advisor's ticket.
         advisor: who gives tickets.
@@ -95,6 +96,7 @@
         self.rng = random.Random(seed)
         self.ran: list[RanTask] = []
         self.over_room: list[TaskId] = []
+        self.holds = 0
         self.gangs: dict[tuple[str, int], FakeGang] = {}
         self.advised: set[str] = set()
         self.advisor = FakeAdvisor(self.clock, self.after, self.rng)
@@ -166,7 +168,8 @@
         self._grant = Grant(self._epoch, holder, standbys)
         self.leader.on_grant(self._grant)
         for node, entry in self.entries.items():
-            if entry.hall not in self._cut and node not in self._dead:
+            is_heard = node not in self.leader.cut_off
+            if is_heard and entry.hall not in self._cut:
                 self._deliver(node, "control", self._grant)
 
     def submit(
@@ -448,6 +451,7 @@
             self.after(DELAY_MS, lambda: tell(worker.stop(order)))
 
     def _hold(self, entry: Entry, order: HoldWorker) -> None:
+        self.holds += 1
         worker = self._reach(entry, order.worker)
         sent_ms = self.clock.now_ms()
 
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -133,6 +133,23 @@
     assert {ran.task_id.job for ran in site.ran} == {"sent"}
 
 
+def test_a_refusal_of_a_holder_that_was_followed_is_not_passed_on():
+    site = _site()
+    site.leader.cut_off.add(HOLDER)
+    site.submit("c-1/1", "sent", is_kept=True)
+    site.run(1250)
+    site.submit("b-1/1", "unsent", is_kept=True)
+    site.run(50)
+    site.leader.commit_ms = 400
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(1500)
+    assert _verdicts(site) == {
+        "sent": Verdict.ACCEPTED,
+        "unsent": Verdict.ACCEPTED,
+    }
+    _assert_sound(site)
+
+
 def test_a_holder_that_no_leader_answers_stops_what_it_runs():
     site = _site()
     for worker in site.workers.values():
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,8 +1,9 @@
 """The pool on a manual clock: what runs where, and what never runs twice."""
 
+import msgspec
 import pytest
 
-from clayfield.testbed.poolsite import PoolSite
+from clayfield.testbed.poolsite import USUAL_STEP, PoolSite
 from clayfield.wire.jobs import Verdict
 
 HALLS = ("a", "b", "c")
@@ -240,3 +241,41 @@
     site.run(1500)
     for entry in site.entries.values():
         assert "worker-c-1" not in entry.known_workers
+
+
+def test_workers_on_which_nothing_runs_are_held_seldom_where_there_are_many():
+    site = _site(workers=100)
+    site.run(4000)
+    assert len(site.entries[HOLDER].dispatcher.fleet.workers) == 300
+    site.holds = 0
+    site.run(10_000)
+    assert 300 <= site.holds <= 1000
+    site.submit("b-1/1", "job", count=40)
+    site.run(100)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+def test_a_long_task_on_one_of_many_workers_keeps_its_lease():
+    site = _site(workers=100)
+    site.run(4000)
+    for worker in site.workers.values():
+        worker.task_ms = 3000
+    template = msgspec.structs.replace(USUAL_STEP, estimate_ms=3000.0)
+    site.submit("b-1/1", "job", count=10, template=template)
+    site.run(3200)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+    assert len(site.ran) == 10
+
+
+def test_many_workers_are_adopted_some_at_a_time():
+    site = _site(workers=100)
+    site.kill(HOLDER)
+    site.run(150)
+    site.holds = 0
+    site.grant("b-0/1", {"c": "c-0/1"})
+    # One or two ticks of the new holder, 64 workers in each.
+    site.run(22)
+    assert 0 < site.holds <= 128
+    site.run(400)
+    fleet = site.entries["b-0/1"].dispatcher.fleet
+    assert all(worker.is_adopted for worker in fleet.workers.values())
