--- a/packages/state/src/clayfield/state/_replication.py
+++ b/packages/state/src/clayfield/state/_replication.py
@@ -39,6 +39,12 @@
         """Whether more entries may be sent before an answer comes."""
         return self.pending < MAX_PENDING
 
+    def begin_snapshot(self, index: int) -> None:
+        """Sends a snapshot from its start, unless it is under way."""
+        if index != self.snapshot_index:
+            self.snapshot_index = index
+            self.snapshot_offset = 0
+
     def on_match(self, index: int) -> None:
         """Learns that the follower's log agrees up to an index."""
         self.match = max(self.match, index)
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -15,12 +15,14 @@
 from collections.abc import Callable
 
 from clayfield.base import Clock
+from clayfield.state._elections import Election
 from clayfield.state._members import (
     decode_members,
     encode_members,
     is_members,
 )
 from clayfield.state._replication import Progress
+from clayfield.state._snapshots import IncomingSnapshot, next_chunk
 from clayfield.state.log import Log
 from clayfield.state.machine import StateMachine
 from clayfield.state.membership import box_of
@@ -41,16 +43,12 @@
 )
 
 MAX_APPEND_BYTES = 512 * 1024
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # A snapshot is taken only when the entries are this many times as large as the
 # latest one, so that large states are not written again and again.
 SNAPSHOT_RATIO = 4
 # A lease is held for this part of the election time, the rest is margin for
 # clocks that run at different rates.
 LEASE_SHARE = 0.8
-# When a leader's stream ends, its voters stand for leader this far apart: by
-# turns rather than at random, since ticks would make random times meet.
-HASTE_MS = 80.0
 
 
 class Role(enum.Enum):
@@ -148,9 +146,7 @@
         self._log = Log() if log is None else log
         self._machine = machine
         self._clock = clock
-        self._rng = rng
         self._timing = timing
-        self._patience = patience
         self.commit = 0
         self._applied = 0
         self._persisted = self._log.last_index
@@ -159,18 +155,15 @@
         self._records: list[Record] = []
         self._messages: list[tuple[str, Message]] = []
         self._results: list[tuple[int, int, object]] = []
-        self._votes: dict[str, bool] = {}
         self._progress: dict[str, Progress] = {}
-        self._incoming: tuple[int, bytearray] | None = None
+        self._incoming = IncomingSnapshot()
         self._next_heartbeat_ms = 0.0
-        self._heard_leader_ms = -1e12
         self._term_start = 0
         self._read_members()
         if self._log.snapshot:
             self._machine.restore(self._log.snapshot.data)
             self.commit = self._applied = self._log.snapshot.index
-        self._election_at_ms = 0.0
-        self._reset_election()
+        self._election = Election(clock, rng, timing.election_ms, patience)
 
     # Questions.
 
@@ -218,7 +211,7 @@
             raise ValueError(f"{self.node}: {self.group} has a log already")
         self._set_hard(1, self.node)
         self._append(encode_members(1, first_members))
-        self._election_at_ms = self._clock.now_ms()
+        self._election.hold_now()
 
     def propose(self, command: bytes) -> tuple[int, int] | None:
         """Appends a command; returns its index and term, None if no leader."""
@@ -268,7 +261,7 @@
                 self._become_follower(self.term, "")
             elif now_ms >= self._next_heartbeat_ms:
                 self._heartbeat()
-        elif now_ms >= self._election_at_ms and self.is_voter:
+        elif self._election.is_due and self.is_voter:
             self._start_election(pre=True)
 
     def on_message(self, source: str, message: Message) -> None:
@@ -299,10 +292,9 @@
         leader that others hear; what is lost early is only its lease.
         """
         if self.leader and box_of(self.leader) == box and not self.is_leader:
-            self._heard_leader_ms = -1e12
             others = [v for v in self.members.voters if v != self.leader]
             turn = others.index(self.node) if self.node in others else 0
-            self._election_at_ms = self._clock.now_ms() + turn * HASTE_MS
+            self._election.on_leader_lost(turn)
 
     def on_persisted(self, last_index: int) -> None:
         """Learns that the records up to an index are on stable storage."""
@@ -327,16 +319,11 @@
 
     # Elections.
 
-    def _reset_election(self) -> None:
-        spread = 1.0 + self._rng.random()
-        wait_ms = self._timing.election_ms * spread * self._patience
-        self._election_at_ms = self._clock.now_ms() + wait_ms
-
     def _start_election(self, pre: bool) -> None:
-        self._reset_election()
+        self._election.put_off()
         self.leader = ""
         self.role = Role.PRE_CANDIDATE if pre else Role.CANDIDATE
-        self._votes = {self.node: True}
+        self._election.begin(self.node)
         term = self.term + 1
         if not pre:
             self._set_hard(term, self.node)
@@ -356,7 +343,7 @@
         granted = self._may_vote(source, req)
         if granted and not req.pre:
             self._set_hard(self.term, source)
-            self._reset_election()
+            self._election.put_off()
         reply_term = req.term if granted else self.term
         self._send(source, VoteReply(self.group, reply_term, granted, req.pre))
 
@@ -371,38 +358,31 @@
         return self._vote in ("", source)
 
     def _hears_leader(self) -> bool:
-        if self.is_leader:
-            return True
-        quiet_ms = self._clock.now_ms() - self._heard_leader_ms
-        return quiet_ms < self._timing.election_ms
+        return self.is_leader or self._election.hears_leader
 
     def _on_vote_reply(self, source: str, reply: VoteReply) -> None:
         wanted = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
         asked_term = self.term + 1 if reply.pre else self.term
         if reply.granted:
             if self.role is wanted and reply.term == asked_term:
-                self._votes[source] = True
+                self._election.on_vote(source)
                 self._count_votes()
         elif reply.term > self.term:
             self._become_follower(reply.term, "")
 
     def _count_votes(self) -> None:
-        if not self._is_majority(set(self._votes)):
+        if not self._election.is_won(self.members.voters):
             return
         if self.role is Role.PRE_CANDIDATE:
             self._start_election(pre=False)
         elif self.role is Role.CANDIDATE:
             self._become_leader()
 
-    def _is_majority(self, nodes: set[str]) -> bool:
-        voters = self.members.voters
-        return sum(voter in nodes for voter in voters) * 2 > len(voters)
-
     def _become_follower(self, term: int, leader: str) -> None:
         if term > self.term:
             self._set_hard(term, "")
         if self.role is not Role.FOLLOWER:
-            self._reset_election()
+            self._election.put_off()
         self.role = Role.FOLLOWER
         self.leader = leader
         self._progress = {}
@@ -524,8 +504,7 @@
 
     def _hear_leader(self, source: str) -> None:
         self._become_follower(self.term, source)
-        self._heard_leader_ms = self._clock.now_ms()
-        self._reset_election()
+        self._election.on_leader_heard()
 
     def _on_append_reply(self, source: str, reply: AppendReply) -> None:
         progress = self._progress.get(source)
@@ -594,61 +573,37 @@
         return self.members if self._members_index <= self._applied else None
 
     def _send_snapshot(self, node: str, progress: Progress) -> None:
+        now_ms = self._clock.now_ms()
         snapshot = self._log.snapshot
-        if snapshot.index != progress.snapshot_index:
-            progress.snapshot_index = snapshot.index
-            progress.snapshot_offset = 0
-        start = progress.snapshot_offset
-        data = snapshot.data[start : start + SNAPSHOT_CHUNK_BYTES]
-        done = start + len(data) >= len(snapshot.data)
-        self._send(
-            node,
-            SnapshotChunk(
-                self.group,
-                self.term,
-                snapshot.index,
-                snapshot.term,
-                snapshot.members,
-                start,
-                data,
-                done,
-                self._clock.now_ms(),
-            ),
-        )
+        chunk = next_chunk(self.group, self.term, snapshot, progress, now_ms)
+        self._send(node, chunk)
 
     def _on_snapshot_chunk(self, source: str, chunk: SnapshotChunk) -> None:
         if chunk.term < self.term:
             return
         self._hear_leader(source)
         if chunk.index <= self.commit:
-            self._incoming = None
-            self._send(
-                source,
-                AppendReply(
-                    self.group, self.term, True, self.commit, chunk.sent_ms
-                ),
+            self._incoming.drop()
+            reply = AppendReply(
+                self.group, self.term, True, self.commit, chunk.sent_ms
             )
+            self._send(source, reply)
             return
-        if self._incoming is None or self._incoming[0] != chunk.index:
-            self._incoming = (chunk.index, bytearray())
-        buffer = self._incoming[1]
-        if chunk.offset == len(buffer):
-            buffer.extend(chunk.data)
-            if chunk.done:
-                self._install(chunk, bytes(buffer))
+        data = self._incoming.take(chunk)
+        if data is not None:
+            self._install(chunk, data)
         self._send(
             source,
             SnapshotReply(
                 self.group,
                 self.term,
                 chunk.index,
-                len(buffer),
+                self._incoming.received,
                 chunk.sent_ms,
             ),
         )
 
     def _install(self, chunk: SnapshotChunk, data: bytes) -> None:
-        self._incoming = None
         snapshot = Snapshot(chunk.index, chunk.index_term, chunk.members, data)
         self._log.compact(snapshot)
         self._records.append(snapshot)
