Give holds and the intake of jobs modules of their own

When a worker is held, and for how long, is in pool.holds; which jobs are taken or refused in pool.intake.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -4,14 +4,14 @@
 
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
-from clayfield.pool.admission import OVERHEAD_MS, Admission
+from clayfield.pool.admission import Admission
 from clayfield.pool.advice import Advisor
 from clayfield.pool.fleet import (
     Fleet,
     FleetListener,
     RunEnd,
 )
-from clayfield.pool.forecast import Forecast
+from clayfield.pool.intake import LEAST_RETRY_MS, Intake
 from clayfield.pool.jobtable import JobTable
 from clayfield.pool.kept import KeptJobs
 from clayfield.pool.ledger import JobLedger
@@ -22,7 +22,7 @@
     PoolAction,
     TellEntry,
 )
-from clayfield.pool.placement import MANY_WORKERS, RoomSearch
+from clayfield.pool.placement import RoomSearch
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
@@ -32,18 +32,13 @@
     JobEnded,
     SubmitJob,
 )
-from clayfield.wire.jobs import Job, Reason, Verdict, WorkerInfo
+from clayfield.wire.jobs import Reason, Verdict, WorkerInfo
 from clayfield.wire.messages import Message
 
-# A job may be refused for free until it has waited for this part of its
-# objective.
-FREE_REFUSAL_SHARE = 0.2
 # How long the jobs of an earlier holder wait for the workers to be adopted.
 ADOPTION_MS = 1200.0
 # Answers that are kept for callers that ask again.
 KEPT_ANSWERS_MS = 20_000.0
-LEAST_RETRY_MS = 50.0
-LONGEST_RETRY_MS = 10_000.0
 # After so many jobs without room for any task the rest waits for a change.
 MISSES_IN_A_ROW = 24
 
@@ -82,6 +77,14 @@
         self.advisor = Advisor(clock)
         self._jobs = JobTable()
         self._admission = Admission()
+        self._intake = Intake(
+            clock,
+            self.fleet,
+            self._jobs,
+            self._admission,
+            self.advisor,
+            self._refuse,
+        )
         self.kept: KeptJobs | None = None
         if ledger:
             self.kept = KeptJobs(
@@ -90,7 +93,7 @@
                 self.fleet,
                 self._jobs,
                 self._admission,
-                self._is_admitted,
+                self._intake.admit,
                 self._finish,
                 listened_since_ms,
             )
@@ -148,7 +151,7 @@
             self._unsettled[key] = (self._clock.now_ms(), opened)
             self._must_ask = True
             opened.is_placeable = False
-        elif not self._is_admitted(opened):
+        elif not self._intake.admit(opened):
             return
         self._jobs.enqueue(opened)
 
@@ -303,7 +306,7 @@
         self._jobs.release_due(self._clock.wall_ms())
         self._jobs.turn_late(now_ms)
         self._move_stuck(now_ms)
-        self._review(now_ms)
+        self._intake.review()
         for key, (answered_ms, _) in list(self._answers.items()):
             if now_ms - answered_ms < KEPT_ANSWERS_MS:
                 break
@@ -361,93 +364,6 @@
         if opened.is_done:
             self._finish(opened, Verdict.COMPLETED, Reason.NONE)
 
-    # Admission.
-
-    def _is_admitted(self, opened: OpenJob) -> bool:
-        """Tells whether a new job can be ended in time; if not, refuses it."""
-        if not self._could_run(opened.job):
-            self._finish(opened, Verdict.REFUSED, Reason.NO_WORKER)
-            return False
-        now_ms = self._clock.now_ms()
-        opened.late_at_ms = self._admission.late_at_ms(opened)
-        if opened.is_lasting or opened.job.schedule:
-            return True
-        is_late = now_ms > opened.late_at_ms
-        if not self._jobs.has_waiting and self._has_room(opened.job, now_ms):
-            return True
-        forecast = self._forecast(now_ms)
-        if not forecast.has_places:
-            return True
-        for other in self._jobs.in_turn():
-            is_before = is_late or other.turn <= opened.turn
-            if other is not opened and is_before:
-                self._admission.add_to(forecast, other, now_ms)
-        return not self._is_refused(opened, forecast, now_ms)
-
-    def _has_room(self, job: Job, now_ms: float) -> bool:
-        """Tells whether all tasks of a job would find room at once.
-
-        Asked only where there are so many workers that a forecast is dear.
-        """
-        workers = self.fleet.workers.values()
-        if len(workers) <= MANY_WORKERS:
-            return False
-        return RoomSearch(workers, self.advisor, now_ms).has_room_for(job)
-
-    def _forecast(self, now_ms: float) -> Forecast:
-        return self._admission.places(
-            self.fleet.workers.values(), self._jobs.usual_cpu, now_ms
-        )
-
-    def _is_refused(
-        self, opened: OpenJob, forecast: Forecast, now_ms: float
-    ) -> bool:
-        """Refuses a job that would end late, while that is free.
-
-        Args:
-            opened: a job of which nothing was started.
-            forecast: the places, with all that goes before it.
-            now_ms: the time.
-        """
-        end_ms = self._admission.add_to(forecast, opened, now_ms)
-        age_ms = now_ms - opened.arrived_ms
-        opened.forecast_ms = age_ms + end_ms + OVERHEAD_MS
-        objective_ms = self._admission.objective_ms(opened.job)
-        is_free = age_ms <= objective_ms * FREE_REFUSAL_SHARE
-        allowed_ms = self._admission.allowed_ms(opened.job, now_ms)
-        if opened.forecast_ms <= allowed_ms or not is_free:
-            return False
-        retry_ms = min(LONGEST_RETRY_MS, max(LEAST_RETRY_MS, end_ms))
-        self._finish(opened, Verdict.REFUSED, Reason.TOO_LATE, retry_ms)
-        return True
-
-    def _could_run(self, job: Job) -> bool:
-        workers = [
-            worker
-            for worker in self.fleet.workers.values()
-            if worker.info.service == job.service
-        ]
-        if not workers:
-            return True
-        return all(
-            any(worker.could_fit(step) for worker in workers)
-            for step in job.steps
-        )
-
-    def _review(self, now_ms: float) -> None:
-        """Refuses waiting jobs that will be late, while that is free."""
-        if not self._jobs.has_waiting:
-            return
-        forecast = self._forecast(now_ms)
-        if not forecast.has_places:
-            return
-        for opened in self._jobs.in_turn():
-            is_taken = opened.is_offered or opened.job.is_kept
-            if is_taken or not opened.is_placeable:
-                self._admission.add_to(forecast, opened, now_ms)
-            else:
-                self._is_refused(opened, forecast, now_ms)
-
     # Placement.
 
     def place(self) -> None:
@@ -517,6 +433,11 @@
 
     # Ends.
 
+    def _refuse(
+        self, opened: OpenJob, reason: Reason, retry_after_ms: float
+    ) -> None:
+        self._finish(opened, Verdict.REFUSED, reason, retry_after_ms)
+
     def _give_up(self, opened: OpenJob, reason: Reason) -> None:
         is_clean = not opened.is_offered and opened.job.key not in (
             self._unsettled
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -10,6 +10,7 @@
 
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
+from clayfield.pool.holds import HOLD_WAIT_MS, HoldSchedule
 from clayfield.pool.orders import (
     EndedRow,
     EndKind,
@@ -27,19 +28,6 @@
 from clayfield.pool.worker import Worker
 from clayfield.wire.jobs import WorkerInfo
 
-HOLD_WAIT_MS = 400
-# The longest that a worker lets a hold wait.
-LONGEST_WAIT_MS = 2000
-# Holds of workers on which nothing runs, over all of them.
-IDLE_HOLDS_A_S = 80.0
-# Holds under way to workers of which it is not known what runs there.
-ASKING_AT_ONCE = 64
-# Workers on which nothing runs that are looked at in one tick.
-IDLE_A_TICK = 64
-# Between holds that get no answer.
-RETRY_MS = 60.0
-# The same, as a share of the time between holds of an idle worker.
-RETRY_SHARE = 0.2
 # Between stops that get no answer.
 RESTOP_MS = 150.0
 # A worker that could not be reached for so long is forgotten.
@@ -52,9 +40,6 @@
 OLD_RUN_STEP = 1000
 FENCED_PAUSE_MS = 500.0
 CALLS_A_FENCE = 1_000_000
-MS_PER_S = 1000.0
-# Between holds while a worker lists ends that are not stored yet.
-UNSTORED_PAUSE_MS = 10.0
 
 
 class RunEnd(enum.Enum):
@@ -124,9 +109,7 @@
         self._gone: list[str] = []
         self._past_ends: dict[TaskId, tuple[float, EndKind]] = {}
         self._probe_at_ms: dict[str, float] = {}
-        self._asked_ms = -1.0
-        self._asking: set[str] = set()
-        self._ticks = 0
+        self._holds = HoldSchedule(self.workers)
         self._began_ms = clock.now_ms()
 
     # Questions.
@@ -143,21 +126,11 @@
 
     def ask_all(self) -> None:
         """Asks every worker anew what runs there, some at a time."""
-        self._asked_ms = self._clock.now_ms()
+        self._holds.asked_ms = self._clock.now_ms()
         self._ask_some()
 
     def _ask_some(self) -> None:
-        """Asks workers that have not answered since all were to be asked."""
-        for worker in self.workers.values():
-            if len(self._asking) >= ASKING_AT_ONCE:
-                return
-            is_due = worker.obeyed_ms <= self._asked_ms
-            if is_due and worker.is_adopted and worker.is_reachable:
-                self._ask(worker)
-
-    def _ask(self, worker: Worker) -> None:
-        if worker.name not in self._asking:
-            self._asking.add(worker.name)
+        for worker in self._holds.take_to_ask():
             self._hold(worker, 0)
 
     def take_gone(self) -> list[str]:
@@ -198,7 +171,7 @@
             return
         worker.is_gone = True
         self._gone.append(name)
-        self._asking.discard(name)
+        self._holds.on_answer(name)
         emit(Event.WORKER_GONE, worker=name, runs=len(worker.runs))
         self._probe_at_ms.pop(name, None)
         for run in list(worker.runs.values()):
@@ -365,10 +338,9 @@
         now_ms = self._clock.now_ms()
         if call == worker.open_hold:
             worker.open_hold = 0
-        self._asking.discard(name)
+        self._holds.on_answer(name)
         if answer.result is not OrderResult.DONE:
-            pause_ms = self._idle_interval_ms * RETRY_SHARE
-            worker.next_hold_ms = now_ms + max(RETRY_MS, pause_ms)
+            worker.next_hold_ms = now_ms + self._holds.retry_ms
             self._on_hold_failed(worker, answer.result)
             return
         self._note_answer(worker, answer.clock_ms)
@@ -376,31 +348,11 @@
         for row in answer.ended:
             self._on_ended(worker, row)
         self._on_running(worker, answer.running, sent_ms)
-        worker.next_hold_ms = now_ms + self._pause_ms(worker)
+        worker.next_hold_ms = now_ms + self._holds.pause_ms(worker)
         worker.is_adopted = True
         worker.obeyed_ms = max(worker.obeyed_ms, sent_ms)
         self.renew(worker)
 
-    def _pause_ms(self, worker: Worker) -> float:
-        """Returns how long to wait before a worker is held again."""
-        if worker.has_unstored_ends:
-            return UNSTORED_PAUSE_MS
-        if worker.runs:
-            return 0.0
-        return max(0.0, self._idle_interval_ms - LONGEST_WAIT_MS)
-
-    @property
-    def _idle_interval_ms(self) -> float:
-        """Between the holds of a worker on which nothing runs."""
-        return len(self.workers) / IDLE_HOLDS_A_S * MS_PER_S
-
-    def _wait_ms(self, worker: Worker) -> int:
-        """Returns how long a hold of a worker that is sound may wait."""
-        if worker.runs or worker.has_unstored_ends:
-            return HOLD_WAIT_MS
-        idle_ms = max(HOLD_WAIT_MS, self._idle_interval_ms)
-        return int(min(LONGEST_WAIT_MS, idle_ms))
-
     def _on_hold_failed(self, worker: Worker, result: OrderResult) -> None:
         if result is OrderResult.LOST:
             self._on_unreachable(worker)
@@ -573,7 +525,7 @@
     def tick(self) -> None:
         """Lets time act: holds, stops again, lets leases lapse."""
         now_ms = self._clock.now_ms()
-        for worker in self._due_workers():
+        for worker in self._holds.due_workers():
             self._tick_worker(worker, now_ms)
         self._ask_some()
         self._stop_orphans(now_ms)
@@ -581,19 +533,6 @@
             if now_ms - noted_ms > PAST_END_MS:
                 del self._past_ends[task_id]
 
-    def _due_workers(self) -> list[Worker]:
-        """Returns the workers to be looked at in this tick.
-
-        Those on which nothing runs come by turns where there are many.
-        """
-        self._ticks += 1
-        stride = 1 + len(self.workers) // IDLE_A_TICK
-        return [
-            worker
-            for number, worker in enumerate(self.workers.values())
-            if worker.runs or (number + self._ticks) % stride == 0
-        ]
-
     def _tick_worker(self, worker: Worker, now_ms: float) -> None:
         if not worker.is_reachable:
             silent_ms = now_ms - worker.unreachable_since_ms
@@ -615,12 +554,9 @@
         now_ms = self._clock.now_ms()
         if worker.open_hold or now_ms < worker.next_hold_ms:
             return
-        if not worker.is_adopted and len(self._asking) >= ASKING_AT_ONCE:
+        if not worker.is_adopted and not self._holds.may_ask(worker):
             return
-        if not worker.is_adopted:
-            self._asking.add(worker.name)
-        is_sound = worker.is_reachable and worker.is_adopted
-        worker.hold_wait_ms = self._wait_ms(worker) if is_sound else 0
+        worker.hold_wait_ms = self._holds.wait_ms(worker)
         self._hold(worker, worker.hold_wait_ms)
         worker.open_hold = worker.hold_call
 
