--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,6 +17,8 @@
 from bench.config import letter_configuration
 from clayfield.base import ManualClock
 from clayfield.box import Send
+from clayfield.cluster import ControlState
+from clayfield.cluster.directory import SetJobs, encode_command
 from clayfield.config import (
     Configuration,
     PriorityClass,
@@ -29,6 +31,9 @@
 from clayfield.testbed import Site, SiteShape
 from clayfield.testbed.box import FakeBox
 from clayfield.wire import encode
+from clayfield.wire.cluster import Grant
+from clayfield.wire.jobs import Job, Step
+from clayfield.wire.ledger import AcceptJob, EndTask
 from clayfield.wire.messages import (
     RELEASE_DONE,
     Claim,
@@ -39,6 +44,9 @@
 )
 
 IDLE_MS = 10_000.0
+TASKS_A_KEPT_JOB = 4
+NS_PER_MS = 1_000_000
+BYTES_PER_KB = 1000
 FRAME_OVERHEAD = 60
 CFG = Configuration(
     replaces=0,
@@ -231,6 +239,64 @@
     return (time.process_time() - start_s) * 1000 / 20
 
 
+def _kept_commands(count: int) -> list[bytes]:
+    """Returns the log's commands that accept and end jobs of four tasks."""
+    step = Step(TASKS_A_KEPT_JOB, 6800, 64, 0, 60.0)
+    commands: list[bytes] = []
+    for number in range(count):
+        key = f"{number:016x}"
+        job = Job(
+            key, "q", "s", "x" * 500, (step,), 0, 3, 1.6, 60.0, 1500.0, True
+        )
+        ends = tuple(
+            EndTask(key, 0, index, 1, True) for index in range(step.count)
+        )
+        commands.append(encode_command(SetJobs(1, (AcceptJob(job),))))
+        commands.append(encode_command(SetJobs(1, ends)))
+    return commands
+
+
+def _control_state() -> ControlState:
+    state = ControlState(ManualClock())
+    state.grant = Grant(1, "holder")
+    return state
+
+
+def kept_cpu_ms(count: int) -> float:
+    """Returns the processor time to apply jobs and their ends, in ms."""
+    commands = _kept_commands(count)
+    state = _control_state()
+    began = time.process_time_ns()
+    for command in commands:
+        state.apply(command)
+    return (time.process_time_ns() - began) / NS_PER_MS
+
+
+def kept_log_kb(count: int) -> float:
+    """Returns the bytes in the log of jobs and their ends, in KB."""
+    return sum(map(len, _kept_commands(count))) / BYTES_PER_KB
+
+
+def kept_snapshot_kb(count: int) -> float:
+    """Returns the snapshot of jobs that have ended, in KB."""
+    state = _control_state()
+    for command in _kept_commands(count):
+        state.apply(command)
+    return len(state.snapshot()) / BYTES_PER_KB
+
+
+def kept_recovery_ms(count: int) -> float:
+    """Returns the time to restore a snapshot of open jobs, in ms."""
+    state = _control_state()
+    for command in _kept_commands(count)[::2]:
+        state.apply(command)
+    snapshot = state.snapshot()
+    fresh = _control_state()
+    began = time.process_time_ns()
+    fresh.restore(snapshot)
+    return (time.process_time_ns() - began) / NS_PER_MS
+
+
 SLOPES: dict[str, Callable[[], Slope]] = {
     "claims_cpu_ms": lambda: _measure(
         [2000, 4000, 8000, 16_000, 32_000], claims_cpu_ms, 2
@@ -253,6 +319,18 @@
     "idle_bytes_per_s_by_halls": lambda: _measure(
         [1, 2, 4, 8, 16], idle_bytes_over_halls
     ),
+    "kept_cpu_ms_by_jobs": lambda: _measure(
+        [500, 1000, 2000, 4000, 8000], kept_cpu_ms, 2
+    ),
+    "kept_log_kb_by_jobs": lambda: _measure(
+        [500, 1000, 2000, 4000, 8000], kept_log_kb, 2
+    ),
+    "kept_snapshot_kb_by_ended_jobs": lambda: _measure(
+        [500, 1000, 2000, 4000, 8000], kept_snapshot_kb, 2
+    ),
+    "kept_recovery_ms_by_open_jobs": lambda: _measure(
+        [125, 250, 500, 1000, 2000], kept_recovery_ms, 2
+    ),
     "change_ms_by_services": lambda: _measure(
         [50, 100, 200, 400, 800], change_ms, 2
     ),
--- a/packages/cli/src/clayfield/cli/main.py
+++ b/packages/cli/src/clayfield/cli/main.py
@@ -1,4 +1,4 @@
-"""The clayfield command: check, apply, show, status, submit and watch."""
+"""The clayfield command: check, apply, show, status, submit, job and watch."""
 
 import argparse
 import sys
@@ -7,7 +7,7 @@
 
 from clayfield.base import ClayfieldError
 from clayfield.base.settings import add_flags, read_settings
-from clayfield.cli import commands
+from clayfield.cli import commands, jobs
 from clayfield.cli.client import Client
 from clayfield.cli.commands import Context, ExitError
 from clayfield.cli.settings import SETTINGS
@@ -28,6 +28,7 @@
     "show": ("show the configuration in force", commands.show),
     "status": ("show what each box knows", commands.status),
     "submit": ("submit jobs from a file of JSON lines", commands.submit),
+    "job": ("put a job of steps, tell its state or cancel it", jobs.job),
     "watch": ("show the version in force until stopped", commands.watch),
 }
 WITH_FILE = ("check", "apply", "submit")
@@ -54,6 +55,8 @@
         sub = subparsers.add_parser(name, help=text, parents=[common])
         if name in WITH_FILE:
             sub.add_argument("file", help="the file to read, - for input")
+        if name == "job":
+            jobs.add_arguments(sub)
         if name == "apply":
             sub.add_argument(
                 "--wait",
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -171,6 +171,62 @@
         assert (status, json.loads(body)) == (200, {"verdict": "completed"})
 
 
+KEPT = {
+    "keep": True,
+    "spec": "text",
+    "steps": [{"count": 2, "cpu": 6800, "estimate_ms": 20}],
+}
+
+
+def _state(entry, key):
+    status, body, _ = entry.ask("GET", f"/v1/queues/fast/jobs/{key}")
+    return json.loads(body).get("state") if status == 200 else status
+
+
+def _job_command(pool, *arguments):
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "clayfield.cli.main",
+            "job",
+            "--output=json",
+            f"--box-urls=http://{LOOPBACK}:{pool.entries[1].port}",
+            *arguments,
+        ],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    return done.returncode, json.loads(done.stdout or "{}")
+
+
+def test_a_kept_job_is_accepted_and_told_of_by_any_entry(pool):
+    status, body, _ = _submit(pool.entries[0], "kept", KEPT)
+    assert (status, json.loads(body)) == (202, {"verdict": "accepted"})
+    for entry in pool.entries:
+        wait_for(
+            lambda entry=entry: _state(entry, "kept") == "completed", "ended"
+        )
+    assert _submit(pool.entries[1], "kept", KEPT)[0] == 202
+    assert _state(pool.entries[0], "never-put") == 404
+
+
+def test_the_command_line_puts_jobs_and_tells_of_them(pool, tmp_path):
+    file = tmp_path / "job.json"
+    file.write_text(json.dumps(KEPT))
+    put = _job_command(pool, "put", "fast", "by-command", str(file))
+    assert put == (0, {"key": "by-command", "verdict": "accepted"})
+    wait_for(
+        lambda: _state(pool.entries[0], "by-command") == "completed", "ended"
+    )
+    told = _job_command(pool, "state", "fast", "by-command")
+    assert told == (0, {"key": "by-command", "state": "completed"})
+    code, problem = _job_command(pool, "state", "fast", "never-put")
+    assert (code, problem["code"]) == (1, "CF108")
+
+
 def test_the_routing_is_read_back_as_it_was_written(pool):
     reads = [c.ask("GET", "/v1/routing") for c in pool.controls]
     found = [body for status, body, _ in reads if status == 200]
@@ -252,6 +308,26 @@
     assert _submit(pool.entries[1], "after-return")[0] == 200
 
 
+def test_kept_jobs_are_known_after_all_control_nodes_were_killed(pool):
+    for number in range(4):
+        answer = _submit(pool.entries[0], f"safe-{number}", KEPT)
+        assert answer[0] == 202
+    for control in pool.controls:
+        control.kill()
+    for control in pool.controls:
+        control.start()
+    for number in range(4):
+        wait_for(
+            lambda n=number: (
+                _state(pool.entries[1], f"safe-{n}") == "completed"
+            ),
+            "known and ended",
+        )
+    wait_for(
+        lambda: _submit(pool.entries[1], "again", KEPT)[0] == 202, "accepted"
+    )
+
+
 @pytest.mark.parametrize(
     ("arguments", "word"),
     [
