Refuse new kept jobs where a new holder cannot load the record for long

Cause (read in review): while no leader answered a new holder, jobs waited for the record without bound, and their callers heard only when they gave up. One that no other holder was handed is refused after 1.5 s; one that was waits, as it may be kept already. Test: test_a_new_holder_that_cannot_load, failed first.

--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -137,10 +137,23 @@
             known.entries.add(entry)
         elif known or key in self._states:
             self._tell(entry, JobEnded(key, Verdict.ACCEPTED, Reason.NONE, 0.0))
-        elif not self.ledger.is_loaded:
-            self._early_submits.append((entry, submit))
-        else:
+        elif self.ledger.is_loaded:
             self._accept(entry, submit)
+        else:
+            self._await_loading(entry, submit)
+
+    def _await_loading(self, entry: str, submit: SubmitJob) -> None:
+        """Has a job wait until it is known whether it is kept already.
+
+        One that no other holder was handed is refused where that takes long.
+        """
+        waited_ms = self._clock.now_ms() - self._began_ms
+        is_slow = waited_ms > AUTHORITY_MS
+        is_full = len(self._early_submits) >= MAX_OPEN
+        if (is_slow or is_full) and not submit.was_sent:
+            self._refuse(entry, submit.job.key, Reason.NOT_STORED)
+        elif not is_full:
+            self._early_submits.append((entry, submit))
 
     def _accept(self, entry: str, submit: SubmitJob) -> None:
         job = submit.job
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -128,6 +128,23 @@
     assert {ran.task_id.job for ran in site.ran} == {"sent"}
 
 
+def test_a_new_holder_that_cannot_load_refuses_what_was_handed_to_no_other():
+    site = granted_site()
+    site.leader.is_silent = True
+    site.submit("c-1/1", "handed", is_kept=True)
+    site.kill(HOLDER)
+    site.run(150)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(1600)
+    site.submit("c-1/1", "new", is_kept=True)
+    site.run(10)
+    assert _verdicts(site) == {"new": Verdict.REFUSED}
+    site.leader.is_silent = False
+    site.run(1000)
+    assert _verdicts(site)["handed"] is Verdict.ACCEPTED
+    assert {ran.task_id.job for ran in site.ran} == {"handed"}
+
+
 def test_a_refusal_of_a_holder_that_was_followed_is_not_passed_on():
     site = granted_site()
     site.leader.cut_off.add(HOLDER)
