Keep at most 800 free connections to workers open

Beyond 800 the connection that has been free longest is closed, and cannot be used while it closes. Test: test_httpclient.

--- a/packages/node/src/clayfield/node/httpclient.py
+++ b/packages/node/src/clayfield/node/httpclient.py
@@ -17,6 +17,8 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 IDLE_S = 10.0
+# Free connections of all pools that share a bound; descriptors are few.
+MAX_IDLE = 800
 
 
 class CallEnd(enum.Enum):
@@ -70,6 +72,11 @@
         self.transport.write(request)
         return self._waiter
 
+    def retire(self) -> None:
+        """Closes a free connection; no call may use it any more."""
+        self.is_open = False
+        self.transport.loseConnection()
+
     def _on_timeout(self) -> None:
         self.transport.abortConnection()
         self._finish(CallAnswer(CallEnd.LOST))
@@ -119,6 +126,36 @@
         waiter.callback(answer)
 
 
+class IdleConnections:
+    """The free connections of many pools; the oldest beyond a bound close."""
+
+    __slots__ = ("_connections", "_most")
+
+    def __init__(self, most: int):
+        """Starts with none.
+
+        Args:
+            most: how many may stay open.
+        """
+        self._most = most
+        self._connections: dict[_Connection, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def add(self, connection: _Connection) -> None:
+        """Takes a connection that is free again."""
+        self._connections[connection] = None
+        if len(self._connections) > self._most:
+            oldest = next(iter(self._connections))
+            del self._connections[oldest]
+            oldest.retire()
+
+    def discard(self, connection: _Connection) -> None:
+        """Forgets a connection that is in use again, or gone."""
+        self._connections.pop(connection, None)
+
+
 class ConnectionPool(protocol.Factory):
     """The connections to one address.
 
@@ -128,9 +165,22 @@
 
     noisy = False
 
-    def __init__(self, reactor: interfaces.IReactorTCP, address: str):
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTCP,
+        address: str,
+        idle_of_all: IdleConnections | None = None,
+    ):
+        """Starts without connections.
+
+        Args:
+            reactor: of twisted.
+            address: IP:PORT.
+            idle_of_all: of all pools that share a bound.
+        """
         host, port = read_address(address)
         self.reactor = reactor
+        self._idle_of_all = idle_of_all or IdleConnections(MAX_IDLE)
         self._endpoint = TCP4ClientEndpoint(
             reactor, host, port, timeout=CONNECT_TIMEOUT_S
         )
@@ -146,9 +196,10 @@
         now_s = self.reactor.seconds()
         while self._idle:
             connection = self._idle.pop()
+            self._idle_of_all.discard(connection)
             if connection.is_open and now_s - connection.idle_since_s < IDLE_S:
                 return connection.call(request, timeout_s)
-            connection.transport.loseConnection()
+            connection.retire()
         connecting = self._endpoint.connect(self)
         connecting.addCallbacks(
             self._on_connected, self._on_refused, (request, timeout_s)
@@ -170,10 +221,12 @@
         """Takes back a connection that is free again."""
         connection.idle_since_s = self.reactor.seconds()
         self._idle.append(connection)
+        self._idle_of_all.add(connection)
 
     def on_closed(self, connection: _Connection) -> None:
         """Forgets a connection that is gone."""
         self._open.discard(connection)
+        self._idle_of_all.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -6,7 +6,12 @@
 
 from clayfield.base import Clock
 from clayfield.node.faces import WorkerProtocol
-from clayfield.node.httpclient import CallAnswer, ConnectionPool
+from clayfield.node.httpclient import (
+    MAX_IDLE,
+    CallAnswer,
+    ConnectionPool,
+    IdleConnections,
+)
 from clayfield.pool import (
     Advice,
     AskAdvisor,
@@ -48,6 +53,7 @@
         self._kick = kick
         self._advisor = advisor
         self._pools: dict[str, ConnectionPool] = {}
+        self._idle = IdleConnections(MAX_IDLE)
         self._used_s: dict[str, float] = {}
 
     def start(self, order: StartRun) -> None:
@@ -120,7 +126,8 @@
     ) -> None:
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = ConnectionPool(self._reactor, address)
+            pool = ConnectionPool(self._reactor, address, self._idle)
+            self._pools[address] = pool
         self._used_s[address] = self._reactor.seconds()
         pool.call(request, timeout_s).addCallback(on_answer)
 
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,37 @@
+"""Connections to workers: how many stay open."""
+
+from clayfield.node.httpclient import IdleConnections
+
+
+class FakeConnection:
+    """A connection that notes its end."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def retire(self):
+        self.is_closed = True
+
+
+def test_the_oldest_free_connection_closes_beyond_the_bound():
+    idle = IdleConnections(3)
+    connections = [FakeConnection() for _ in range(5)]
+    for connection in connections:
+        idle.add(connection)
+    closed = [connection.is_closed for connection in connections]
+    assert closed == [True, True, False, False, False]
+    assert len(idle) == 3
+
+
+def test_a_connection_in_use_again_is_not_closed():
+    idle = IdleConnections(2)
+    first, second, third, fourth = (FakeConnection() for _ in range(4))
+    idle.add(first)
+    idle.add(second)
+    idle.discard(first)
+    idle.add(third)
+    idle.add(first)
+    idle.add(fourth)
+    assert (first.is_closed, second.is_closed) == (False, True)
+    assert third.is_closed
+    assert not fourth.is_closed
