Pace what fills beside what serves

What: a task that fills takes no room and goes where most is left; when a worker tells that a task that serves is over its target, all that fills there is halved in pace, to nothing below 20%, and given back by 10% while all tails are below 0.8 of their targets; a step that was too much doubles the pause before the next. A new holder goes on from the pace that workers tell.

Tests on a manual clock, tails of 50 ms plus 20 to 2,000 ms for each task that fills: at most 2.5 s over the target in a row (allowed: 4), 0 to 14% of the time; back at full pace within 30 s. Steps of 10% without the growing pause left the tail over its target at the end of 20 s at 2,000 ms: changed.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -218,6 +218,12 @@
     AUTHORITY_BACK = _Spec(
         6014, logbook.INFO, "a leader answers the holder again", ("epoch",)
     )
+    RUN_PACED = _Spec(
+        6015,
+        logbook.INFO,
+        "a run that fills may work at another pace",
+        ("job", "step", "index", "run", "worker", "percent"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was contained", ("error",)
     )
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -31,6 +31,7 @@
     Dial,
     Entry,
     HoldWorker,
+    PaceRun,
     PoolTiming,
     StartRun,
     StopRun,
@@ -310,6 +311,8 @@
                     self._orders.hold(action)
                 case StopRun():
                     self._orders.stop(action)
+                case PaceRun():
+                    self._orders.pace(action)
                 case AskAdvisor():
                     self._orders.ask(action)
                 case AnswerCaller(waiter=waiter, ended=ended):
--- a/packages/node/src/clayfield/node/faces.py
+++ b/packages/node/src/clayfield/node/faces.py
@@ -14,6 +14,7 @@
     HoldAnswer,
     HoldWorker,
     OrderAnswer,
+    PaceRun,
     Routes,
     StartRun,
     StopRun,
@@ -178,6 +179,10 @@
     def write_stop(self, order: StopRun) -> bytes:
         """Returns the request that stops a run."""
 
+    @abc.abstractmethod
+    def write_pace(self, order: PaceRun) -> bytes:
+        """Returns the request that sets the pace of a run."""
+
     @abc.abstractmethod
     def write_hold(self, order: HoldWorker) -> bytes:
         """Returns the request that renews a lease and asks what runs."""
--- a/packages/node/src/clayfield/node/own/callers.py
+++ b/packages/node/src/clayfield/node/own/callers.py
@@ -58,6 +58,8 @@
     gang: bool = False
     one_rack: bool = False
     lasting: bool = False
+    target_ms: float = 0.0
+    fills: bool = False
 
 
 class _Submission(msgspec.Struct, forbid_unknown_fields=True):
@@ -209,6 +211,8 @@
         is_gang=step.gang,
         wants_one_rack=step.one_rack,
         is_lasting=step.lasting,
+        target_ms=step.target_ms,
+        fills=step.fills,
     )
 
 
--- a/packages/node/src/clayfield/node/own/workers.py
+++ b/packages/node/src/clayfield/node/own/workers.py
@@ -13,6 +13,7 @@
     HoldWorker,
     OrderAnswer,
     OrderResult,
+    PaceRun,
     RunningRow,
     StartRun,
     StopRun,
@@ -21,6 +22,7 @@
 
 START_PATH = "/v1/runs/start"
 STOP_PATH = "/v1/runs/stop"
+PACE_PATH = "/v1/runs/pace"
 HOLD_PATH = "/v1/runs/hold"
 ADVICE_PATH = "/v1/advice"
 HTTP_OK = 200
@@ -53,6 +55,16 @@
     fence: int
 
 
+class PaceBody(msgspec.Struct):
+    """Lets a run work at a share of its full pace."""
+
+    worker: str
+    task: TaskId
+    number: int
+    percent: int
+    fence: int
+
+
 class HoldBody(msgspec.Struct):
     """Renews the lease and asks what runs and what has ended."""
 
@@ -68,8 +80,9 @@
 
     task: TaskId
     number: int
-    percent: int = 0
+    percent: int = 100
     saved: str = ""
+    figure: float | None = None
 
 
 class EndedItem(msgspec.Struct):
@@ -140,6 +153,17 @@
         body = StopBody(order.worker, order.task_id, order.number, order.fence)
         return _request(STOP_PATH, order.address, body)
 
+    def write_pace(self, order: PaceRun) -> bytes:
+        """Returns the request that sets the pace of a run."""
+        body = PaceBody(
+            order.worker,
+            order.task_id,
+            order.number,
+            order.percent,
+            order.fence,
+        )
+        return _request(PACE_PATH, order.address, body)
+
     def write_hold(self, order: HoldWorker) -> bytes:
         """Returns the request that renews a lease and asks what runs."""
         body = HoldBody(
@@ -183,7 +207,7 @@
             said.result,
             said.clock_ms,
             [
-                RunningRow(r.task, r.number, r.percent, r.saved)
+                RunningRow(r.task, r.number, r.percent, r.saved, r.figure)
                 for r in said.running
             ],
             [
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -134,8 +134,6 @@
 
     def __init__(self, streams: "Streams", address: str):
         self.address = address
-        self.stream: _Stream | None = None
-        self.is_dropped = False
         self._streams = streams
         host, port = read_address(address)
         self._endpoint = TCP4ClientEndpoint(
@@ -145,7 +143,7 @@
 
     def start(self) -> None:
         """Connects."""
-        if self.is_dropped or self._streams.is_stopped:
+        if self._streams.is_stopped:
             return
         factory = protocol.Factory.forProtocol(
             lambda: _Stream(self._streams, self.address)
@@ -153,11 +151,8 @@
         connecting = self._endpoint.connect(factory)
         connecting.addCallbacks(self._on_connected, self._on_refused)
 
-    def _on_connected(self, stream: _Stream) -> None:
+    def _on_connected(self, _: _Stream) -> None:
         self._pause_s = FIRST_PAUSE_S
-        self.stream = stream
-        if self.is_dropped:
-            stream.transport.abortConnection()
 
     def _on_refused(self, reason: failure.Failure) -> None:
         reason.trap(error.ConnectError, error.ConnectionClosed, OSError)
@@ -165,7 +160,6 @@
 
     def again(self) -> None:
         """Connects after a pause that grows with each failure."""
-        self.stream = None
         self._streams.reactor.callLater(self._pause_s, self.start)
         self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
 
@@ -225,23 +219,6 @@
         dial = self._dials[address] = _Dial(self, address)
         dial.start()
 
-    def drop(self, address: str) -> None:
-        """Dials an address no more."""
-        dial = self._dials.pop(address, None)
-        if dial is None:
-            return
-        dial.is_dropped = True
-        if dial.stream:
-            dial.stream.transport.loseConnection()
-
-    def dialled(self) -> list[str]:
-        """Returns the addresses that are kept connected."""
-        return list(self._dials)
-
-    def is_open(self, node: str) -> bool:
-        """Tells whether a message to a node can be sent now."""
-        return node in self._by_node
-
     def send(self, node: str, message: Message) -> bool:
         """Sends a message to a node; False when no stream to it is open."""
         streams = self._by_node.get(node)
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -17,6 +17,7 @@
     AskAdvisor,
     Entry,
     HoldWorker,
+    PaceRun,
     StartRun,
     StopRun,
 )
@@ -86,6 +87,11 @@
         request = self._protocol.write_stop(order)
         self._call(order.address, request, ORDER_TIMEOUT_S, on_answer)
 
+    def pace(self, order: PaceRun) -> None:
+        """Sends a change of pace; the next hold tells what came of it."""
+        request = self._protocol.write_pace(order)
+        self._call(order.address, request, ORDER_TIMEOUT_S, _ignore)
+
     def hold(self, order: HoldWorker) -> None:
         """Sends a hold."""
         sent_ms = self._clock.now_ms()
@@ -143,3 +149,7 @@
         """Closes all connections."""
         for pool in self._pools.values():
             pool.close()
+
+
+def _ignore(answer: CallAnswer) -> None:
+    """Takes an answer that tells nothing."""
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -18,11 +18,13 @@
     HoldWorker,
     OrderAnswer,
     OrderResult,
+    PaceRun,
     PoolAction,
     RunningRow,
     StartRun,
     StopRun,
 )
+from clayfield.pool.pacing import choose_pace
 from clayfield.pool.tasks import Run, RunState, Task, TaskId
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
@@ -110,7 +112,6 @@
         self._past_ends: dict[TaskId, tuple[float, EndKind]] = {}
         self._probe_at_ms: dict[str, float] = {}
         self._holds = HoldSchedule(self.workers)
-        self._began_ms = clock.now_ms()
 
     # Questions.
 
@@ -349,10 +350,28 @@
             self._on_ended(worker, row)
         self._on_running(worker, answer.running, sent_ms)
         worker.next_hold_ms = now_ms + self._holds.pause_ms(worker)
+        self._pace(worker, now_ms)
         worker.is_adopted = True
         worker.obeyed_ms = max(worker.obeyed_ms, sent_ms)
         self.renew(worker)
 
+    def _pace(self, worker: Worker, now_ms: float) -> None:
+        """Paces what fills by the figures of what serves beside it."""
+        for run, percent in choose_pace(worker, now_ms).items():
+            worker.paced_ms = now_ms
+            run.percent = percent
+            self.actions.append(
+                PaceRun(
+                    worker.name,
+                    worker.info.address,
+                    run.task_id,
+                    run.number,
+                    percent,
+                    self.fence,
+                )
+            )
+            emit(Event.RUN_PACED, **_names(run), percent=percent)
+
     def _on_hold_failed(self, worker: Worker, result: OrderResult) -> None:
         if result is OrderResult.LOST:
             self._on_unreachable(worker)
@@ -433,6 +452,8 @@
                 self._adopt(worker, row)
             elif known.number == row.number:
                 known.saved = row.saved
+                known.percent = row.percent
+                known.figure = row.figure
                 self._confirm(known)
         for run in list(worker.runs.values()):
             if (run.task_id, run.number) not in listed:
@@ -468,6 +489,8 @@
         )
         run.answered_ms = run.since_ms
         run.saved = row.saved
+        run.percent = row.percent
+        run.figure = row.figure
         worker.reserve(run)
         self.foreign[row.task_id] = run
         if self.is_standby:
@@ -499,7 +522,7 @@
         worker.release(run)
         run.task = task
         run.expect(work_ms, worker.speed)
-        run.cpu = task.step.cpu
+        run.cpu = task.step.room_cpu
         run.memory_mb = task.step.memory_mb
         run.gpu = task.step.gpu
         worker.reserve(run)
--- a/packages/pool/src/clayfield/pool/jobtable.py
+++ b/packages/pool/src/clayfield/pool/jobtable.py
@@ -99,7 +99,7 @@
     def _count(self, opened: OpenJob, sign: int) -> None:
         for step in opened.job.steps:
             self._steps += sign
-            self._steps_cpu += sign * step.cpu
+            self._steps_cpu += sign * step.room_cpu
 
     # Questions.
 
--- a/packages/pool/src/clayfield/pool/orders.py
+++ b/packages/pool/src/clayfield/pool/orders.py
@@ -45,17 +45,25 @@
         number: of the run.
         percent: the share of its full pace at which it may work.
         saved: the checkpoint of its progress, "" for none.
+        figure: the tail of the times of its answers in ms, where it serves;
+            None where it is not told.
     """
 
-    __slots__ = ("number", "percent", "saved", "task_id")
+    __slots__ = ("figure", "number", "percent", "saved", "task_id")
 
     def __init__(
-        self, task_id: TaskId, number: int, percent: int, saved: str = ""
+        self,
+        task_id: TaskId,
+        number: int,
+        percent: int,
+        saved: str = "",
+        figure: float | None = None,
     ):
         self.task_id = task_id
         self.number = number
         self.percent = percent
         self.saved = saved
+        self.figure = figure
 
 
 class EndedRow:
@@ -197,6 +205,28 @@
         self.fence = fence
 
 
+class PaceRun:
+    """Let a run work at a share of its full pace."""
+
+    __slots__ = ("address", "fence", "number", "percent", "task_id", "worker")
+
+    def __init__(
+        self,
+        worker: str,
+        address: str,
+        task_id: TaskId,
+        number: int,
+        percent: int,
+        fence: int,
+    ):
+        self.worker = worker
+        self.address = address
+        self.task_id = task_id
+        self.number = number
+        self.percent = percent
+        self.fence = fence
+
+
 class HoldWorker:
     """Renew a worker's lease and ask what runs and what has ended there.
 
@@ -294,4 +324,4 @@
         self.message = message
 
 
-PoolAction = StartRun | StopRun | HoldWorker | AskAdvisor | TellEntry
+PoolAction = StartRun | StopRun | PaceRun | HoldWorker | AskAdvisor | TellEntry
--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -100,7 +100,7 @@
     def has_room_for(self, job: Job) -> bool:
         """Tells whether all tasks of a job would find room at once."""
         needed = job.task_count
-        cpu = max(step.cpu for step in job.steps)
+        cpu = max(step.room_cpu for step in job.steps)
         for worker in self._from_next_turn(self._workers):
             is_of_service = worker.info.service == job.service
             if is_of_service and self._is_open_now(worker):
@@ -173,7 +173,7 @@
 
 def _asks_as_much(step: Step, other: Step) -> bool:
     return (
-        step.cpu >= other.cpu
+        step.room_cpu >= other.room_cpu
         and step.memory_mb >= other.memory_mb
         and step.gpu >= other.gpu
     )
@@ -199,6 +199,15 @@
     )
 
 
+def _spare_cpu(worker: Worker, task: Task) -> int:
+    """Returns what a worker leaves to one more task that fills."""
+    filling = sum(
+        run.task is not None and run.task.step.fills
+        for run in worker.runs.values()
+    )
+    return worker.free_cpu - filling * task.step.cpu
+
+
 def _is_of_step(task_id: TaskId, other: TaskId) -> bool:
     """Tells whether two tasks are of one step at one time."""
     return (task_id.job, task_id.step, task_id.time) == (
@@ -215,5 +224,5 @@
     return (
         worker.name in task.avoided,
         -round(speed, 1),
-        worker.free_cpu - task.step.cpu,
+        -_spare_cpu(worker, task) if task.step.fills else worker.free_cpu,
     )
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -127,6 +127,9 @@
         expected_ms: how long it should take on its worker.
         stopped_ms: when the worker confirmed its stop, None before.
         saved: the checkpoint of its progress that the worker told last.
+        percent: the share of its full pace at which it may work.
+        figure: what the worker last told of its load: the tail of the times
+            of its answers in ms, where it serves; None while not told.
         end_sequence: by which the worker numbers its end, 0 before.
     """
 
@@ -135,9 +138,11 @@
         "cpu",
         "end_sequence",
         "expected_ms",
+        "figure",
         "gpu",
         "memory_mb",
         "number",
+        "percent",
         "saved",
         "since_ms",
         "state",
@@ -166,10 +171,12 @@
         self.answered_ms: float | None = None
         self.stopped_ms: float | None = None
         self.saved = ""
+        self.percent = 100
+        self.figure: float | None = None
         self.end_sequence = 0
         self.work_ms = 0.0
         self.expected_ms = 0.0
-        self.cpu = task.step.cpu if task else 0
+        self.cpu = task.step.room_cpu if task else 0
         self.memory_mb = task.step.memory_mb if task else 0
         self.gpu = task.step.gpu if task else 0
 
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -40,6 +40,8 @@
         next_hold_ms: when to hold again.
         lease_ends_ms: when, on the holder's clock, all that it was told to
             run has surely lapsed.
+        paced_ms: when tasks that fill were last paced here.
+        raise_pause_ms: how long after that their pace may be raised.
         foreign_end_ms: when it last listed an end that another holder is to
             take note of, as a stand-by sees it.
         lapsed_ms: when its lease was last known to have lapsed.
@@ -72,6 +74,8 @@
         "noted_upto",
         "obeyed_ms",
         "open_hold",
+        "paced_ms",
+        "raise_pause_ms",
         "runs",
         "speed",
         "unreachable_since_ms",
@@ -84,6 +88,8 @@
         self._unstored_ends: set[int] = set()
         self.is_lease_withheld = False
         self.lapsed_ms = 0.0
+        self.paced_ms = 0.0
+        self.raise_pause_ms = 600.0
         self.foreign_end_ms = 0.0
         self.is_adopted = False
         self.is_gone = False
@@ -125,7 +131,7 @@
     def fits(self, step: Step) -> bool:
         """Tells whether there is room for a task of a step."""
         return (
-            step.cpu <= self._free_cpu
+            step.room_cpu <= self._free_cpu
             and step.memory_mb <= self._free_memory_mb
             and step.gpu <= self._free_gpu
         )
@@ -133,7 +139,7 @@
     def could_fit(self, step: Step) -> bool:
         """Tells whether there would be room if nothing else ran."""
         return (
-            step.cpu <= self.info.cpu
+            step.room_cpu <= self.info.cpu
             and step.memory_mb <= self.info.memory_mb
             and step.gpu <= self.info.gpu
         )
--- a/packages/testbed/src/clayfield/testbed/fakeworker.py
+++ b/packages/testbed/src/clayfield/testbed/fakeworker.py
@@ -16,6 +16,7 @@
     HoldAnswer,
     HoldWorker,
     OrderResult,
+    PaceRun,
     RunningRow,
     StartRun,
     StopRun,
@@ -27,6 +28,8 @@
 LEASE_MS = 1000.0
 STOP_MS = 50.0
 GANG_TIMEOUT_MS = 3000.0
+PACE_MS = 100.0
+CALM_TAIL_MS = 50.0
 PLACE_CPU = 6800
 
 
@@ -59,6 +62,7 @@
         gangs: the gangs at work or waiting, by job and step.
         advised: the keys of jobs that need the advisor's ticket.
         advisor: who gives tickets.
+        filling: the keys of jobs that fill.
     """
 
     clock: Clock
@@ -68,6 +72,7 @@
     gangs: dict[tuple[str, int], "FakeGang"]
     advised: set[str]
     advisor: FakeAdvisor
+    filling: set[str]
 
     def after(self, delay_ms: float, act: Callable[[], None]) -> None:
         """Has something happen later."""
@@ -106,6 +111,7 @@
         end_ms: when it ended, None while it runs.
         kind: how it ended.
         from_ms: the work that was done in runs before, as its checkpoint said.
+        percent: the share of its full pace at which it works.
         is_noted: whether the worker was told to forget its end, and its lease
             had not lapsed before.
     """
@@ -116,6 +122,7 @@
         "is_noted",
         "kind",
         "number",
+        "percent",
         "start_ms",
         "task_id",
         "worker",
@@ -132,6 +139,7 @@
         self.kind: EndKind | None = None
         self.is_noted = False
         self.from_ms = 0.0
+        self.percent = 100
 
 
 class FakeWorker:
@@ -145,6 +153,8 @@
         is_failing: whether every task fails.
         is_hanging: whether tasks stand still.
         is_gone: whether another life answers at its address.
+        disturb_ms: by how much a task that fills, at its full pace, lengthens
+            the tail of those that serve.
         is_guarding: whether it rejects what does not fit.
     """
 
@@ -157,6 +167,7 @@
         self.is_hanging = False
         self.is_gone = False
         self.is_guarding = True
+        self.disturb_ms = 0.0
         self._site = site
         self._fence = 0
         self._lease_until_ms = 0.0
@@ -183,13 +194,20 @@
             return OrderResult.NO_TICKET
         if self._highest.get(order.task_id, 0) >= order.number:
             return OrderResult.OLD_RUN
-        if len(self._running) * PLACE_CPU + PLACE_CPU > self.info.cpu:
+        if not self._has_room(order.task_id):
             if self.is_guarding:
                 return OrderResult.NO_ROOM
             self._site.over_room.append(order.task_id)
         self._begin(order)
         return OrderResult.DONE
 
+    def _has_room(self, task_id: TaskId) -> bool:
+        filling = self._site.filling
+        if task_id.job in filling:
+            return True
+        placed = sum(one.job not in filling for one in self._running)
+        return (placed + 1) * PLACE_CPU <= self.info.cpu
+
     def _begin(self, order: StartRun) -> None:
         now_ms = self._site.clock.now_ms()
         ran = RanTask(order.task_id, order.number, self.info.name, now_ms)
@@ -263,6 +281,24 @@
             self._site.after(STOP_MS, lambda: self._end(ran, EndKind.STOPPED))
         return OrderResult.DONE
 
+    def pace(self, order: PaceRun) -> None:
+        """Sets the pace of a run, a little later."""
+        ran = self._running.get(order.task_id)
+        if order.fence < self._fence or ran is None:
+            return
+        set_pace = functools.partial(setattr, ran, "percent", order.percent)
+        self._site.after(PACE_MS, set_pace)
+
+    @property
+    def tail_ms(self) -> float:
+        """The tail of the times of the answers that are given here."""
+        filling = [
+            ran.percent / 100
+            for ran in self._running.values()
+            if ran.task_id.job in self._site.filling
+        ]
+        return CALM_TAIL_MS + self.disturb_ms * sum(filling)
+
     def hold(
         self, order: HoldWorker, answer: Callable[[HoldAnswer], None]
     ) -> None:
@@ -298,7 +334,13 @@
 
     def _list(self) -> HoldAnswer:
         running = [
-            RunningRow(ran.task_id, ran.number, 0, self._checkpoint(ran))
+            RunningRow(
+                ran.task_id,
+                ran.number,
+                ran.percent,
+                self._checkpoint(ran),
+                self.tail_ms,
+            )
             for ran in self._running.values()
         ]
         now_ms = self._site.clock.now_ms()
--- a/packages/testbed/src/clayfield/testbed/poolsite.py
+++ b/packages/testbed/src/clayfield/testbed/poolsite.py
@@ -23,6 +23,7 @@
     HoldWorker,
     OrderAnswer,
     OrderResult,
+    PaceRun,
     PoolTiming,
     StartRun,
     StopRun,
@@ -90,6 +91,7 @@
         gangs: by job and step.
         advised: the keys of jobs that need the advisor's ticket.
         advisor: who gives tickets.
+        filling: the keys of jobs that fill.
         ended: by job how it ended for its caller, and when.
         leader: keeps the record of kept jobs.
         states: by job what its caller was told last, None for unknown.
@@ -105,6 +107,7 @@
         self.holds = 0
         self.gangs: dict[tuple[str, int], FakeGang] = {}
         self.advised: set[str] = set()
+        self.filling: set[str] = set()
         self.advisor = FakeAdvisor(self.clock, self.after, self.rng)
         self.ended: dict[str, tuple[float, JobEnded]] = {}
         self.workers: dict[str, FakeWorker] = {}
@@ -228,6 +231,8 @@
         )
         if is_advised:
             self.advised.add(key)
+        if template.fills:
+            self.filling.add(key)
         self.entries[node].submit(job, waiter)
         self._carry_out(node)
 
@@ -370,6 +375,10 @@
                     self._stop(entry, action)
                 case HoldWorker():
                     self._hold(entry, action)
+                case PaceRun(worker=name):
+                    worker = self._reach(entry, name)
+                    if worker:
+                        worker.pace(action)
                 case AskAdvisor():
                     self._ask_advisor(entry, action)
                 case AnswerCaller(waiter=waiter, ended=ended):
--- a/packages/testbed/src/clayfield/testbed/poolworkers.py
+++ b/packages/testbed/src/clayfield/testbed/poolworkers.py
@@ -56,6 +56,7 @@
         gangs: none, as these workers do not know of each other.
         advised: none.
         advisor: is not asked.
+        filling: none.
         rng: unused by workers that are well.
     """
 
@@ -65,6 +66,7 @@
         self.over_room: list[TaskId] = []
         self.gangs: dict[tuple[str, int], FakeGang] = {}
         self.advised: set[str] = set()
+        self.filling: set[str] = set()
         self.rng = random.Random(0)
         self.advisor = FakeAdvisor(self.clock, self.after, self.rng)
 
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -28,6 +28,9 @@
         wants_one_rack: whether a gang works faster within one rack.
         is_lasting: whether its tasks run until the job is cancelled, and are
             started again however they end.
+        target_ms: tasks that last serve users of their own, and the tail of
+            their answers' times is to stay below this; 0 for no users.
+        fills: whether it takes no room and works with what the others leave.
     """
 
     count: int
@@ -44,6 +47,13 @@
     is_gang: bool = False
     wants_one_rack: bool = False
     is_lasting: bool = False
+    target_ms: float = 0.0
+    fills: bool = False
+
+    @property
+    def room_cpu(self) -> int:
+        """The room that a task takes, in thousandths of a core."""
+        return 0 if self.fills else self.cpu
 
 
 def find_step_fault(steps: tuple[Step, ...]) -> str:
@@ -158,7 +168,6 @@
     TIMED_OUT = "timed-out"
     NO_HOLDER = "no-holder"
     NO_WORKER = "no-worker-fits"
-    NOT_BUILT = "not-supported"
     STOPPING = "stopping"
     HOLDER_LOST = "holder-lost"
     ATTEMPTS = "attempts-used-up"
