Await no storing of an end that a worker never listed

Cause (read in the last review): an order that a worker rejects as bad ends its run as failed without a number among the worker's ends; the guard for that was lost when gangs were built, so number 0 was awaited and holds told the worker to forget ends up to -1 until the failure was stored. Ruled out: jobs that are not kept (they await nothing). Test: test_an_order_that_a_worker_rejects_leaves_no_end_to_be_stored, -1 before, 0 now. Besides: a wrong sentence on the record's clock, and an unused length that would have made an empty record falsy.

--- a/packages/cluster/src/clayfield/cluster/jobbook.py
+++ b/packages/cluster/src/clayfield/cluster/jobbook.py
@@ -51,7 +51,8 @@
     """Kept jobs by key.
 
     What it holds follows from the changes alone. The clock only tells since
-    when this node has known of a job, and is no part of a snapshot.
+    when this node has known of a job; a snapshot brings that of open jobs as
+    their age, which decides nothing here.
     """
 
     __slots__ = ("_clock", "_ended", "_open")
@@ -141,9 +142,6 @@
             keys.append(key)
         return tuple(keys)
 
-    def __len__(self) -> int:
-        return len(self._open)
-
     # Snapshots.
 
     def image(self) -> JobsImage:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -279,7 +279,9 @@
             task.state = TaskState.WAITING
             task.avoided.add(worker.name)
             counting = [opened.note_failure(task, number)]
-        worker.await_storing(at)
+        if at:
+            # An order that the worker rejected is not among its ends.
+            worker.await_storing(at)
         for one in counting:
             change = EndTask(
                 one.id.job,
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -7,7 +7,7 @@
 
 from clayfield.base import ManualClock
 from clayfield.cluster.jobbook import JobBook
-from clayfield.pool import EndKind
+from clayfield.pool import EndKind, OrderResult
 from clayfield.testbed.poolsite import (
     HALLS,
     HOLDER,
@@ -356,6 +356,25 @@
     assert _ask_all(site, {"job"}, "c-1/1") == {"job": JobState.FAILED}
 
 
+def test_an_order_that_a_worker_rejects_leaves_no_end_to_be_stored():
+    site = granted_site()
+    seen = []
+    for worker in site.workers.values():
+        hold = worker.hold
+
+        def note_hold(order, answer, hold=hold):
+            seen.append(order.seen_upto)
+            hold(order, answer)
+
+        worker.hold = note_hold
+        worker.start = lambda order: OrderResult.BAD_ORDER
+    site.leader.commit_ms = 600
+    site.submit("a-1/1", "job", count=1, is_kept=True)
+    site.run(5000)
+    assert min(seen) == 0
+    assert _ask_all(site, {"job"}, "c-1/1") == {"job": JobState.FAILED}
+
+
 @pytest.mark.parametrize("kill_ms", [0, 1, 13, 30, 200])
 def test_a_cancelled_job_stops_and_stays_cancelled(kill_ms):
     site = granted_site()
