Log from what evidence a run was given up, and which runs were taken over

RUN_LOST said 'running' both for a run that its worker no longer listed and for a lapsed lease; claims were not logged.

Change: RUN_LOST has the cause: listed, unlisted, lease-lapsed, start-rejected or worker-removed. No decision changes.

The whole suite was not run on this commit.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -165,7 +165,17 @@
         6003,
         logbook.INFO,
         "a run ended without success",
-        ("job", "step", "index", "run", "worker", "state", "end", "ran_ms"),
+        (
+            "job",
+            "step",
+            "index",
+            "run",
+            "worker",
+            "state",
+            "end",
+            "cause",
+            "ran_ms",
+        ),
     )
     RUN_DOUBTFUL = _Spec(
         6004,
@@ -236,6 +246,18 @@
         "the throttle of a batch run changed",
         ("job", "step", "index", "run", "worker", "percent"),
     )
+    RUN_CLAIMED = _Spec(
+        6016,
+        logbook.INFO,
+        "a run that another node started was assigned to its task",
+        ("job", "step", "index", "run", "worker", "lease_left_ms"),
+    )
+    JOB_RESOLVED = _Spec(
+        6017,
+        logbook.INFO,
+        "the runs of a job that another node had were determined",
+        ("job", "waited_ms", "workers", "claimed", "done", "fence"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -373,20 +373,37 @@
         for since_ms, open_job in list(self._unresolved.values()):
             if self.fleet.is_synced_since(since_ms):
                 del self._unresolved[open_job.job.key]
-                self._claim_runs(open_job)
+                self._claim_runs(open_job, now_ms - since_ms)
             elif now_ms - since_ms >= SYNC_TIMEOUT_MS:
                 self._abort(open_job, Reason.HOLDER_LOST)
 
-    def _claim_runs(self, open_job: OpenJob) -> None:
-        """Assigns to a job's tasks their inherited runs and recorded ends."""
+    def _claim_runs(self, open_job: OpenJob, waited_ms: float) -> None:
+        """Assigns to a job's tasks their inherited runs and recorded ends.
+
+        Args:
+            open_job: the job.
+            waited_ms: how long the job waited for the polls, in ms.
+        """
+        claimed = done = 0
         for task in open_job.all_tasks():
             if self.fleet.claim_inherited_run(
                 task, self._admission.expected_ms(open_job.job, task)
             ):
                 task.state = TaskState.PLACED
                 open_job.is_started = True
+                claimed += 1
             elif self.fleet.recorded_end(task.id) is EndKind.DONE:
                 task.state = TaskState.DONE
+                done += 1
+        emit(
+            Event.JOB_RESOLVED,
+            job=open_job.job.key,
+            waited_ms=round(waited_ms),
+            workers=len(self.fleet.workers),
+            claimed=claimed,
+            done=done,
+            fence=self.fleet.fence,
+        )
         open_job.is_placeable = True
         self._stop_all(open_job.runs_of_partial_gangs())
         if open_job.is_done:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -62,6 +62,22 @@
     LOST = "lost"
 
 
+class EndCause(enum.StrEnum):
+    """The evidence from which the fleet concluded that a run has ended.
+
+    LISTED: the worker listed its end. UNLISTED: the worker no longer lists
+    it. LEASE_LAPSED: the lease of its unreachable worker has lapsed.
+    START_REJECTED: the worker rejected the start. WORKER_REMOVED: the worker
+    was removed.
+    """
+
+    LISTED = "listed"
+    UNLISTED = "unlisted"
+    LEASE_LAPSED = "lease-lapsed"
+    START_REJECTED = "start-rejected"
+    WORKER_REMOVED = "worker-removed"
+
+
 _RUN_ENDS = {EndKind.DONE: RunOutcome.DONE, EndKind.FAILED: RunOutcome.FAILED}
 
 
@@ -190,7 +206,7 @@
         emit(Event.WORKER_GONE, worker=name, runs=len(worker.runs))
         self._probe_at_ms.pop(name, None)
         for run in list(worker.runs.values()):
-            self._end_run(worker, run, RunOutcome.LOST)
+            self._end_run(worker, run, RunOutcome.LOST, EndCause.WORKER_REMOVED)
 
     # Commands.
 
@@ -312,16 +328,20 @@
                 self._send_stop(worker, run)
             case CommandResult.OLD_RUN:
                 run.task.last_run += RUN_NUMBER_SKIP
-                self._end_run(worker, run, RunOutcome.LOST)
+                self._end_rejected(worker, run, RunOutcome.LOST)
             case CommandResult.BAD_ORDER:
-                self._end_run(worker, run, RunOutcome.FAILED)
+                self._end_rejected(worker, run, RunOutcome.FAILED)
             case CommandResult.NO_TICKET:
                 self._listener.on_ticket_rejected(run, worker)
-                self._end_run(worker, run, RunOutcome.LOST)
+                self._end_rejected(worker, run, RunOutcome.LOST)
             case _:
-                self._end_run(worker, run, RunOutcome.LOST)
+                self._end_rejected(worker, run, RunOutcome.LOST)
         self._apply_result(worker, reply.result)
 
+    def _end_rejected(self, worker: Worker, run: Run, end: RunOutcome) -> None:
+        """Ends a run whose start the worker rejected."""
+        self._end_run(worker, run, end, EndCause.START_REJECTED)
+
     def _apply_result(self, worker: Worker, result: CommandResult) -> None:
         """Updates a worker's state by the result of a command."""
         match result:
@@ -466,7 +486,8 @@
         if is_current:
             run.end_sequence = row.sequence
             run.checkpoint = row.checkpoint
-            self._end_run(worker, run, _RUN_ENDS.get(row.kind, RunOutcome.LOST))
+            end = _RUN_ENDS.get(row.kind, RunOutcome.LOST)
+            self._end_run(worker, run, end, EndCause.LISTED)
 
     def _record_inherited_end(self, worker: Worker, row: EndedRun) -> None:
         if row.kind not in (EndKind.DONE, EndKind.FAILED):
@@ -516,13 +537,17 @@
         match run.state:
             case RunState.RUNNING:
                 if run.confirmed_ms is not None and run.confirmed_ms < sent_ms:
-                    self._end_run(worker, run, RunOutcome.LOST)
+                    self._end_run(
+                        worker, run, RunOutcome.LOST, EndCause.UNLISTED
+                    )
             case RunState.DOUBTFUL | RunState.STOPPING:
                 stopped_ms = run.stopped_ms
                 if stopped_ms is None:
                     return
                 if stopped_ms + self.timing.stop_ms <= sent_ms:
-                    self._end_run(worker, run, RunOutcome.LOST)
+                    self._end_run(
+                        worker, run, RunOutcome.LOST, EndCause.UNLISTED
+                    )
 
     def _add_inherited(self, worker: Worker, row: RunningRun) -> None:
         """Adds a run that an earlier holder started.
@@ -587,15 +612,24 @@
         worker.reserve(run)
         task.run = run
         task.last_run = max(task.last_run, run.number)
+        lease_left_ms = worker.lease_ends_ms - self._clock.now_ms()
+        emit(
+            Event.RUN_CLAIMED,
+            **_run_fields(run),
+            lease_left_ms=round(lease_left_ms),
+        )
         return True
 
-    def _end_run(self, worker: Worker, run: Run, end: RunOutcome) -> None:
+    def _end_run(
+        self, worker: Worker, run: Run, end: RunOutcome, cause: EndCause
+    ) -> None:
         if end is not RunOutcome.DONE:
             emit(
                 Event.RUN_LOST,
                 **_run_fields(run),
                 state=run.state.value,
                 end=end.value,
+                cause=cause.value,
                 ran_ms=round(self._clock.now_ms() - run.commanded_ms),
             )
         worker.release(run)
@@ -664,7 +698,9 @@
         """Ends the confirmed runs of a worker whose lease has lapsed."""
         for run in list(worker.runs.values()):
             if run.state is RunState.RUNNING or run.confirmed_ms is not None:
-                self._end_run(worker, run, RunOutcome.LOST)
+                self._end_run(
+                    worker, run, RunOutcome.LOST, EndCause.LEASE_LAPSED
+                )
 
     def _retry_stops(self, worker: Worker, now_ms: float) -> None:
         for run in worker.runs.values():
