Add a failing test of a run that is given up under another node's lease

The test plays the real decisions on the manual clock: starts of the holder are in flight when a hall is partitioned, so that they are doubtful; the hall's standby then runs the jobs of its hall; the hall rejoins while a poll of the holder, sent before, still waits for its time-out. The holder's stop of a doubtful run is confirmed, the poll that follows is answered and lists the standby's run, which the forwarded job claims. 9 ms later the older poll times out, the worker counts as unreachable, and at the next tick its runs are given up, since the holder itself has sent no lease for 1.6 s.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -285,3 +285,24 @@
     site.run(400)
     fleet = site.entries["b-0/1"].dispatcher.fleet
     assert all(worker.is_synced for worker in fleet.workers.values())
+
+
+@pytest.mark.parametrize("offset_ms", range(60, 240, 40))
+def test_run_under_a_lease_of_the_standby_is_not_lost_when_its_hall_rejoins(
+    offset_ms,
+):
+    site = _site()
+    for worker in site.workers.values():
+        worker.task_ms = 400.0
+    site.submit("a-1/1", "started-into-the-partition", count=12)
+    site.partition("b")
+    site.run(1500 + offset_ms)
+    for number in range(3):
+        site.submit("b-1/1", f"job-{number}", count=1)
+    site.run(20)
+    site.heal("b")
+    site.run(10)
+    site.grant(HOLDER, STANDBYS)
+    site.run(6000)
+    assert site.overlapping_runs() == []
+    assert set(_verdicts(site).values()) == {Verdict.COMPLETED}
