Count the leases that other nodes gave before giving up a worker's runs

What callers saw: a task ran twice at the same time, 39.367 to 39.526 s in the hall of its caller (run 1, by the hall's standby) and 39.523 to 39.721 s in another (run 301, by the holder of epoch 3).

Cause: the holder gives up the runs of an unreachable worker once the worker's lease has lapsed, and reckoned that lease from what it had sent itself. While a hall is partitioned its standby renews the leases of the hall's workers. After the hall rejoined, a probe was answered and the standby's run was claimed by its job; then an older poll, sent before the rejoin, timed out, the worker counted as unreachable, and at the next tick the run was given up and its task started elsewhere, though the standby's lease had almost a second left.

Change: the first poll that a worker accepts with a fencing token shows that no node with a lower one can renew its lease any more, so until then it may have been renewed. The fleet counts a lease from that moment. Poll numbers, which are reserved for each token, tell which token was accepted; they are now renewed with the grant too. The same holds for a new holder that first reaches a worker late, and for a standby that waits for the holder's lease to lapse.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -303,12 +303,10 @@
             fence: the fencing token of the new grant.
             epoch: the epoch of the new grant.
         """
-        self.fleet.fence = fence
+        self.fleet.renew_fence(fence)
         self.is_fenced = False
         if self.kept_jobs:
             self.kept_jobs.store.renew_epoch(epoch)
-        for worker in self.fleet.workers.values():
-            worker.next_poll_ms = self._clock.now_ms()
 
     # Periodic work.
 
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -175,6 +175,18 @@
         recorded = self._recorded_ends.get(task_id)
         return recorded[1] if recorded else None
 
+    def renew_fence(self, fence: int) -> None:
+        """Continues with a higher fencing token.
+
+        Args:
+            fence: the token of this node's next grant.
+        """
+        self.fence = fence
+        now_ms = self._clock.now_ms()
+        for worker in self.workers.values():
+            worker.last_poll = fence * CALLS_PER_FENCE
+            worker.next_poll_ms = now_ms
+
     # Addition and removal of workers.
 
     def on_worker_heartbeat(self, info: WorkerInfo) -> None:
@@ -186,8 +198,8 @@
             first_poll = self.fence * CALLS_PER_FENCE
             now_ms = self._clock.now_ms()
             worker = Worker(info, now_ms, first_poll)
-            # An earlier holder may have renewed the lease just now.
-            worker.on_lease_sent(now_ms, self.timing.lease_ms)
+            # Another node may have renewed the lease just now.
+            worker.on_lease_renewed(now_ms, self.timing.lease_ms)
             self.workers[info.name] = worker
             _log_worker(info)
         elif info.sequence >= existing.info.sequence:
@@ -230,7 +242,7 @@
         task.run = run
         worker.reserve(run)
         lease_ms = self.timing.lease_ms
-        worker.on_lease_sent(now_ms, lease_ms)
+        worker.on_lease_renewed(now_ms, lease_ms)
         self.actions.append(
             StartRun(
                 worker.name,
@@ -281,7 +293,7 @@
         if worker.is_reachable and not worker.is_lease_withheld:
             until_ms = worker.lease_until(now_ms, lease_ms)
         if until_ms is not None:
-            worker.on_lease_sent(now_ms, lease_ms)
+            worker.on_lease_renewed(now_ms, lease_ms)
         worker.last_poll += 1
         self.actions.append(
             PollWorker(
@@ -408,6 +420,7 @@
             return
         self._record_reply(worker, reply.clock_ms)
         self._on_reachable(worker)
+        self._on_fence_accepted(worker, poll_id // CALLS_PER_FENCE, now_ms)
         for row in reply.ended:
             self._on_ended(worker, row)
         self._on_running(worker, reply.running, sent_ms)
@@ -417,6 +430,17 @@
         worker.synced_ms = max(worker.synced_ms, sent_ms)
         self.poll_if_due(worker)
 
+    def _on_fence_accepted(
+        self, worker: Worker, fence: int, now_ms: float
+    ) -> None:
+        """Handles a worker's acceptance of a poll with a fencing token.
+
+        Until the first one, another node may have renewed the worker's lease.
+        """
+        if fence > worker.accepted_fence:
+            worker.accepted_fence = fence
+            worker.on_lease_renewed(now_ms, self.timing.lease_ms)
+
     def _throttle(self, worker: Worker, now_ms: float) -> None:
         """Adjusts the speed of batch runs to the latencies measured there."""
         for run, speed_percent in choose_throttles(worker, now_ms).items():
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -52,7 +52,10 @@
         poll_wait_ms: how long the worker may delay its reply to the open
             poll, in ms.
         next_poll_ms: time of the next poll.
-        lease_ends_ms: time by which the last lease has certainly lapsed.
+        accepted_fence: the highest fencing token of this node with which the
+            worker has accepted a poll, 0 for none.
+        lease_ends_ms: time by which the last lease has certainly lapsed,
+            whichever node gave it.
         throttled_ms: time of the latest change of speed of a batch run.
         raise_interval_ms: least time from then to a raise of the speed, in
             ms.
@@ -74,6 +77,7 @@
         "_suspended_until_ms",
         "_suspension_ms",
         "_unstored_ends",
+        "accepted_fence",
         "deferred_end_ms",
         "info",
         "is_synced",
@@ -121,6 +125,7 @@
         self.open_poll = 0
         self.poll_wait_ms = 0
         self.next_poll_ms = now_ms
+        self.accepted_fence = 0
         self.lease_ends_ms = now_ms
         self.last_reply_ms = now_ms
         self.synced_ms = -1.0
@@ -219,8 +224,8 @@
             return None
         return now_ms + self._clock_offset_ms + lease_ms
 
-    def on_lease_sent(self, now_ms: float, lease_ms: float) -> None:
-        """Records that a command that renews the lease was sent."""
+    def on_lease_renewed(self, now_ms: float, lease_ms: float) -> None:
+        """Records that this or another node has renewed the lease."""
         ends_ms = now_ms + lease_ms * (1 + MAX_CLOCK_DRIFT) + MAX_TRANSIT_MS
         self.lease_ends_ms = max(self.lease_ends_ms, ends_ms)
 
