Test the reckoning of leases without a poll that times out late

Cause: the test of the fault leads to it through a time-out of an old poll. Once such a time-out no longer makes a worker unreachable, the test would pass without the lease being reckoned.

Change: a second table in which the worker refuses connections right after the hall rejoined and a stop finds that out. PoolSite can make a worker refuse.

--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -129,6 +129,7 @@
         self.cancelled_ms: dict[str, float] = {}
         self._partitioned: set[str] = set()
         self._isolated: set[str] = set()
+        self._refusing: set[str] = set()
         self._keys_by_request: dict[int, str] = {}
         self._request_count = 0
         self._epoch = 0
@@ -307,6 +308,10 @@
         """Makes a worker unreachable for all entry nodes."""
         self._isolated.add(worker)
 
+    def refuse_connections(self, worker: str) -> None:
+        """Makes a worker refuse every connection; what runs there goes on."""
+        self._refusing.add(worker)
+
     def kill(self, node: str) -> None:
         """Ends the process of an entry node."""
         self._dead.add(node)
@@ -491,7 +496,9 @@
                 ),
             )
 
-        if worker is None:
+        if command.worker in self._refusing:
+            send_reply(CommandResult.UNREACHED)
+        elif worker is None:
             self.call_later(
                 COMMAND_TIMEOUT_MS, lambda: send_reply(CommandResult.LOST)
             )
@@ -516,7 +523,9 @@
                 ),
             )
 
-        if worker is None:
+        if command.worker in self._refusing:
+            send_reply(CommandResult.UNREACHED)
+        elif worker is None:
             self.call_later(
                 COMMAND_TIMEOUT_MS, lambda: send_reply(CommandResult.LOST)
             )
@@ -542,7 +551,9 @@
             else:
                 send_reply(reply)
 
-        if worker is None:
+        if request.worker in self._refusing:
+            send_reply(PollReply(CommandResult.UNREACHED))
+        elif worker is None:
             lost = PollReply(CommandResult.LOST)
             wait_ms = request.wait_ms + POLL_SLACK_MS
             self.call_later(wait_ms, lambda: send_reply(lost))
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -287,10 +287,12 @@
     assert all(worker.is_synced for worker in fleet.workers.values())
 
 
-@pytest.mark.parametrize("offset_ms", range(60, 240, 40))
-def test_run_under_a_lease_of_the_standby_is_not_lost_when_its_hall_rejoins(
-    offset_ms,
-):
+def _site_whose_hall_rejoined(offset_ms):
+    """Returns a site where starts were in flight when a hall was cut off.
+
+    The holder then polls the hall's workers by probes, too, once the hall has
+    rejoined, while older polls of them still wait for their time-out.
+    """
     site = _site()
     for worker in site.workers.values():
         worker.task_ms = 400.0
@@ -303,6 +305,29 @@
     site.heal("b")
     site.run(10)
     site.grant(HOLDER, STANDBYS)
+    return site
+
+
+@pytest.mark.parametrize("offset_ms", range(60, 240, 40))
+def test_run_under_a_lease_of_the_standby_is_not_lost_when_its_hall_rejoins(
+    offset_ms,
+):
+    site = _site_whose_hall_rejoined(offset_ms)
     site.run(6000)
     assert site.overlapping_runs() == []
     assert set(_verdicts(site).values()) == {Verdict.COMPLETED}
+
+
+@pytest.mark.parametrize("offset_ms", range(60, 240, 40))
+def test_run_of_the_standby_is_not_lost_when_its_worker_refuses_connections(
+    offset_ms,
+):
+    site = _site_whose_hall_rejoined(offset_ms)
+    worker = site.entries[HOLDER].dispatcher.fleet.workers["worker-b-0"]
+    while not (worker.is_reachable and worker.has_known_usage):
+        site.run(1)
+    site.refuse_connections("worker-b-0")
+    site.cancel(HOLDER, "job-0")
+    site.run(500)
+    assert site.cancelled_ms
+    assert site.overlapping_runs() == []
