Ignore polls without a reply that are older than an answered one

Cause: a poll that was sent before the rejoin timed out after a later one had been answered, and marked the worker as unreachable.

Change: a poll without a reply is evidence only if no later one was accepted.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -416,7 +416,7 @@
         self._schedule.on_reply(name)
         if reply.result is not CommandResult.DONE:
             worker.next_poll_ms = now_ms + self._schedule.retry_ms
-            self._on_poll_failed(worker, reply.result)
+            self._on_poll_failed(worker, reply.result, sent_ms)
             return
         self._record_reply(worker, reply.clock_ms)
         self._on_reachable(worker)
@@ -458,7 +458,17 @@
             )
             emit(Event.RUN_PACED, **_run_fields(run), percent=speed_percent)
 
-    def _on_poll_failed(self, worker: Worker, result: CommandResult) -> None:
+    def _on_poll_failed(
+        self, worker: Worker, result: CommandResult, sent_ms: float
+    ) -> None:
+        """Handles a poll that was rejected or got no reply.
+
+        A poll without a reply says nothing about the worker if a later one
+        was accepted.
+        """
+        is_unanswered = result in (CommandResult.LOST, CommandResult.UNREACHED)
+        if is_unanswered and sent_ms < worker.synced_ms:
+            return
         if result is CommandResult.LOST:
             self._on_unreachable(worker)
         else:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -331,3 +331,18 @@
     site.run(500)
     assert site.cancelled_ms
     assert site.overlapping_runs() == []
+
+
+@pytest.mark.parametrize("offset_ms", range(60, 240, 40))
+def test_worker_stays_reachable_when_a_poll_older_than_the_answered_times_out(
+    offset_ms,
+):
+    site = _site_whose_hall_rejoined(offset_ms)
+    workers = site.entries[HOLDER].dispatcher.fleet.workers
+    seen = set()
+    for _ in range(1000):
+        site.run(1)
+        reachable = {n for n, worker in workers.items() if worker.is_reachable}
+        assert seen <= reachable
+        seen |= reachable
+    assert len(seen) == 6
