Decode when a worker started, and log heartbeats that count as outdated

The users' new term `born`, the time of a worker's start, was not decoded.

Change: heartbeats and replies to polls carry born_ms, in the native protocol and the platform's; no decision uses it yet. HEARTBEAT_IGNORED (6018) is logged where a heartbeat counts as outdated and has other content than the latest; a repeated one is not logged.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -258,6 +258,20 @@
         "the runs of a job that another node had were determined",
         ("job", "waited_ms", "workers", "claimed", "done", "fence"),
     )
+    HEARTBEAT_IGNORED = _Spec(
+        6018,
+        logbook.INFO,
+        "a heartbeat with other content than the latest counts as outdated",
+        (
+            "worker",
+            "state",
+            "sequence",
+            "born_ms",
+            "latest_state",
+            "latest_sequence",
+            "latest_born_ms",
+        ),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/cluster/src/clayfield/cluster/workers.py
+++ b/packages/cluster/src/clayfield/cluster/workers.py
@@ -1,6 +1,7 @@
 """The workers that announce themselves to a control node."""
 
 from clayfield.base import Clock
+from clayfield.wire.heartbeats import log_ignored
 from clayfield.wire.jobs import WorkerInfo
 
 # Number of missed heartbeats after which a worker is removed.
@@ -42,6 +43,7 @@
             return False
         previous = self._infos.get(info.name)
         if previous and info.sequence <= previous.sequence:
+            log_ignored(info, previous)
             return False
         self._last_heartbeat_ms[info.name] = self._clock.now_ms()
         self._infos[info.name] = info
--- a/packages/node/src/clayfield/node/native/operators.py
+++ b/packages/node/src/clayfield/node/native/operators.py
@@ -75,6 +75,7 @@
     gpu: int = 0
     labels: tuple[str, ...] = ()
     rack: str = ""
+    born_ms: int = 0
 
 
 class _Problem(msgspec.Struct):
@@ -179,6 +180,7 @@
             heartbeat.gpu,
             heartbeat.labels,
             heartbeat.rack,
+            heartbeat.born_ms,
         )
     )
 
--- a/packages/node/src/clayfield/node/native/workers.py
+++ b/packages/node/src/clayfield/node/native/workers.py
@@ -145,12 +145,15 @@
         clock_ms: time on the worker's clock, in ms.
         running: the running runs; replies to polls only.
         ended: the ended runs after `seen_upto`; replies to polls only.
+        born_ms: start time of the worker's incarnation, in ms since 1970; 0 if
+            not announced.
     """
 
     result: CommandResult
     clock_ms: float
     running: list[RunningItem] = []
     ended: list[EndedItem] = []
+    born_ms: int = 0
 
 
 class AdviceRequestBody(msgspec.Struct):
@@ -267,6 +270,7 @@
                 EndedRun(e.sequence, e.task, e.number, e.kind, e.saved)
                 for e in reply.ended
             ],
+            reply.born_ms,
         )
 
 
--- a/packages/pool/src/clayfield/pool/commands.py
+++ b/packages/pool/src/clayfield/pool/commands.py
@@ -142,9 +142,11 @@
             reported.
         running: runs that are running on the worker.
         ended: runs that have ended there and are not yet acknowledged.
+        born_ms: start time of the worker's incarnation, in ms since 1970; 0 if
+            it is not reported.
     """
 
-    __slots__ = ("clock_ms", "ended", "result", "running")
+    __slots__ = ("born_ms", "clock_ms", "ended", "result", "running")
 
     def __init__(
         self,
@@ -152,11 +154,13 @@
         clock_ms: float | None = None,
         running: list[RunningRun] | None = None,
         ended: list[EndedRun] | None = None,
+        born_ms: int = 0,
     ):
         self.result = result
         self.clock_ms = clock_ms
         self.running = running or []
         self.ended = ended or []
+        self.born_ms = born_ms
 
 
 class StartRun:
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -33,6 +33,7 @@
     WorkerLeft,
     WorkersPush,
 )
+from clayfield.wire.heartbeats import log_ignored
 from clayfield.wire.job_store import HolderLease, JobsLoaded, JobsWritten
 from clayfield.wire.jobs import Job, Reason, RoutingTable, WorkerInfo
 from clayfield.wire.messages import Message
@@ -247,6 +248,7 @@
     def _on_worker_heartbeat(self, info: WorkerInfo) -> None:
         existing = self._workers.get(info.name)
         if existing and existing.sequence > info.sequence:
+            log_ignored(info, existing)
             return
         self._workers[info.name] = info
         if self.dispatcher and self._is_scheduled_here(info):
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -206,7 +206,7 @@
     """A worker's heartbeat: its address, capacity and state.
 
     Attributes:
-        name: name of one incarnation of the worker.
+        name: name of the worker.
         service: name of the service that it runs.
         address: IP:PORT at which it accepts requests.
         hall: name of its hall.
@@ -217,6 +217,8 @@
         gpu: number of accelerators.
         labels: its kind and its rack, matched by `Step.required_label`.
         rack: name of its rack, "" if not announced.
+        born_ms: start time of this incarnation of the worker, in ms since
+            1970; 0 if not announced. A worker may start again under its name.
     """
 
     name: str
@@ -230,6 +232,13 @@
     gpu: int
     labels: tuple[str, ...] = ()
     rack: str = ""
+    born_ms: int = 0
+
+    def has_other_content(self, other: "WorkerInfo") -> bool:
+        """Returns whether heartbeats differ in more than their number."""
+        return msgspec.structs.replace(self, sequence=0) != (
+            msgspec.structs.replace(other, sequence=0)
+        )
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
