--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from clayfield.base import Clock
 from clayfield.pool import (
     CommandResult,
@@ -174,6 +176,7 @@
         self.enforces_capacity = True
         self.interference_ms = 0.0
         self._site = site
+        self._started_ms = 0.0
         self._fence = 0
         self._lease_until_ms = 0.0
         self._running: dict[TaskId, ExecutedRun] = {}
@@ -183,12 +186,39 @@
         self._sequence = 0
         self._pending_polls: list[Callable[[], None]] = []
 
+    @property
+    def clock_ms(self) -> float:
+        """Time on the worker's clock, which starts anew with the worker."""
+        return self._site.clock.now_ms() - self._started_ms
+
+    def restart(self) -> None:
+        """Ends all runs and starts the worker again under its name.
+
+        It then has none of its former state: no fencing token, no lease, no
+        ends, and all of its numbers start anew.
+        """
+        now_ms = self._site.clock.now_ms()
+        for run in self._running.values():
+            run.end_ms = now_ms
+        self.info = msgspec.structs.replace(
+            self.info, sequence=1, born_ms=round(self._site.clock.wall_ms())
+        )
+        self._started_ms = now_ms
+        self._fence = 0
+        self._lease_until_ms = 0.0
+        self._running = {}
+        self._last_numbers = {}
+        self._ended = []
+        self._unacked = {}
+        self._sequence = 0
+        self._pending_polls = []
+
     def start(self, request: StartRun) -> CommandResult:
         """Returns the result of a start request."""
         if request.fence < self._fence:
             return CommandResult.FENCED
         self._fence = request.fence
-        if request.lease_until_ms <= self._site.clock.now_ms():
+        if request.lease_until_ms <= self.clock_ms:
             return CommandResult.TOO_LATE
         self._renew(request.lease_until_ms)
         running = self._running.get(request.task_id)
@@ -368,8 +398,13 @@
             )
             for run in self._running.values()
         ]
-        now_ms = self._site.clock.now_ms()
-        return PollReply(CommandResult.DONE, now_ms, running, self._ended[:])
+        return PollReply(
+            CommandResult.DONE,
+            self.clock_ms,
+            running,
+            self._ended[:],
+            self.info.born_ms,
+        )
 
     def _checkpoint(self, run: ExecutedRun) -> str:
         elapsed_ms = self._site.clock.now_ms() - run.start_ms
@@ -377,7 +412,7 @@
 
     def _renew(self, until_ms: float) -> None:
         """Renews the lease and schedules the check for its expiry."""
-        now_ms = self._site.clock.now_ms()
+        now_ms = self.clock_ms
         until_ms = min(until_ms, now_ms + LEASE_MS)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
         remaining_ms = self._lease_until_ms - now_ms
@@ -385,7 +420,7 @@
 
     def _expire_lease(self) -> None:
         """Ends all runs if the lease has expired."""
-        if self._site.clock.now_ms() < self._lease_until_ms:
+        if self.clock_ms < self._lease_until_ms:
             return
         self._unacked.clear()
         for run in list(self._running.values()):
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -308,6 +308,34 @@
         """Makes a worker unreachable for all entry nodes."""
         self._isolated.add(worker)
 
+    def rejoin(self, worker: str) -> None:
+        """Makes a worker reachable again after `isolate`."""
+        self._isolated.discard(worker)
+
+    def restart_worker(self, name: str) -> None:
+        """Starts a worker again under its name; its runs end."""
+        self.workers[name].restart()
+        self.send_heartbeat(name)
+
+    def drain_worker(self, name: str) -> None:
+        """Makes a worker announce that it accepts no new tasks."""
+        worker = self.workers[name]
+        worker.info = msgspec.structs.replace(
+            worker.info,
+            state=WorkerState.DRAINING,
+            sequence=worker.info.sequence + 1,
+        )
+        self.send_heartbeat(name)
+
+    def send_heartbeat(self, name: str) -> None:
+        """Delivers a worker's next heartbeat to every entry node."""
+        worker = self.workers[name]
+        worker.info = msgspec.structs.replace(
+            worker.info, sequence=worker.info.sequence + 1
+        )
+        for node in self.entries:
+            self._deliver(node, "control", WorkersPush((worker.info,)))
+
     def refuse_connections(self, worker: str) -> None:
         """Makes a worker refuse every connection; what runs there goes on."""
         self._refusing.add(worker)
@@ -488,7 +516,8 @@
         worker = self._find_reachable(entry, command.worker)
 
         def send_reply(result: CommandResult) -> None:
-            reply = CommandReply(result, self.clock.now_ms())
+            clock_ms = self.workers[command.worker].clock_ms
+            reply = CommandReply(result, clock_ms)
             self._deliver_reply(
                 entry,
                 lambda: entry.on_start_reply(
@@ -515,7 +544,8 @@
         worker = self._find_reachable(entry, command.worker)
 
         def send_reply(result: CommandResult) -> None:
-            reply = CommandReply(result, self.clock.now_ms())
+            clock_ms = self.workers[command.worker].clock_ms
+            reply = CommandReply(result, clock_ms)
             self._deliver_reply(
                 entry,
                 lambda: entry.on_stop_reply(
