Ignore starts and stops without a reply that are older than an answered poll

What callers saw: as with polls, workers of a hall that had rejoined got no tasks for up to 0.3 s after they had answered.

Cause: a stop of a doubtful run that was sent into the cut waits up to 0.5 s for its connection. When that failed after the hall had rejoined, the worker was marked as unreachable although a later poll had been answered.

Change: replies to starts and stops carry the time of sending, as those to polls do, and only a request that was sent after the latest accepted poll is evidence that the worker is unreachable. PoolSite can let calls to a worker end without a connection.

--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -78,12 +78,14 @@
 
     def start(self, command: StartRun) -> None:
         """Sends a request to start a run."""
+        sent_ms = self._clock.now_ms()
 
         def on_result(result: CallResult) -> None:
             self._entry.on_start_reply(
                 command.worker,
                 command.task_id,
                 command.number,
+                sent_ms,
                 self._protocol.read_command_reply(result),
             )
             self._schedule_actions()
@@ -93,12 +95,14 @@
 
     def stop(self, command: StopRun) -> None:
         """Sends a request to stop a run."""
+        sent_ms = self._clock.now_ms()
 
         def on_result(result: CallResult) -> None:
             self._entry.on_stop_reply(
                 command.worker,
                 command.task_id,
                 command.number,
+                sent_ms,
                 self._protocol.read_command_reply(result),
             )
             self._schedule_actions()
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -428,18 +428,32 @@
     # Replies of workers and the advisor.
 
     def on_start_reply(
-        self, name: str, task_id: TaskId, number: int, reply: CommandReply
+        self,
+        name: str,
+        task_id: TaskId,
+        number: int,
+        sent_ms: float,
+        reply: CommandReply,
     ) -> None:
         """Handles a worker's reply to a start request."""
         if self.dispatcher:
-            self.dispatcher.fleet.on_start_reply(name, task_id, number, reply)
+            self.dispatcher.fleet.on_start_reply(
+                name, task_id, number, sent_ms, reply
+            )
 
     def on_stop_reply(
-        self, name: str, task_id: TaskId, number: int, reply: CommandReply
+        self,
+        name: str,
+        task_id: TaskId,
+        number: int,
+        sent_ms: float,
+        reply: CommandReply,
     ) -> None:
         """Handles a worker's reply to a stop request."""
         if self.dispatcher:
-            self.dispatcher.fleet.on_stop_reply(name, task_id, number, reply)
+            self.dispatcher.fleet.on_stop_reply(
+                name, task_id, number, sent_ms, reply
+            )
 
     def on_poll_reply(
         self, name: str, poll_id: int, sent_ms: float, reply: PollReply
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -360,7 +360,12 @@
     # Replies.
 
     def on_start_reply(
-        self, name: str, task_id: TaskId, number: int, reply: CommandReply
+        self,
+        name: str,
+        task_id: TaskId,
+        number: int,
+        sent_ms: float,
+        reply: CommandReply,
     ) -> None:
         """Handles a worker's reply to a start request.
 
@@ -368,6 +373,7 @@
             name: name of the worker.
             task_id: the task.
             number: number of the run.
+            sent_ms: time when the request was sent, in ms.
             reply: the reply, or why there is none.
         """
         worker = self.workers.get(name)
@@ -377,7 +383,7 @@
         run = worker.runs.get(task_id)
         is_current = run is not None and run.number == number
         if not is_current or run.state is not RunState.STARTING:
-            self._apply_result(worker, reply.result)
+            self._apply_result(worker, reply.result, sent_ms)
             return
         match reply.result:
             case CommandResult.DONE:
@@ -398,14 +404,22 @@
                 self._end_rejected(worker, run, RunOutcome.LOST)
             case _:
                 self._end_rejected(worker, run, RunOutcome.LOST)
-        self._apply_result(worker, reply.result)
+        self._apply_result(worker, reply.result, sent_ms)
 
     def _end_rejected(self, worker: Worker, run: Run, end: RunOutcome) -> None:
         """Ends a run whose start the worker rejected."""
         self._end_run(worker, run, end, EndCause.START_REJECTED)
 
-    def _apply_result(self, worker: Worker, result: CommandResult) -> None:
-        """Updates a worker's state by the result of a command."""
+    def _apply_result(
+        self, worker: Worker, result: CommandResult, sent_ms: float
+    ) -> None:
+        """Updates a worker's state by the result of a command.
+
+        Args:
+            worker: the worker.
+            result: result of the command.
+            sent_ms: time when the command was sent, in ms.
+        """
         match result:
             case CommandResult.FENCED:
                 self._on_fenced(worker)
@@ -414,10 +428,15 @@
             case CommandResult.UNHEALTHY | CommandResult.NO_ROOM:
                 worker.suspend(self._clock.now_ms(), result.value)
             case CommandResult.UNREACHED:
-                self._on_unreachable(worker)
+                self._on_unanswered(worker, sent_ms)
 
     def on_stop_reply(
-        self, name: str, task_id: TaskId, number: int, reply: CommandReply
+        self,
+        name: str,
+        task_id: TaskId,
+        number: int,
+        sent_ms: float,
+        reply: CommandReply,
     ) -> None:
         """Handles a worker's reply to a stop request.
 
@@ -425,6 +444,7 @@
             name: name of the worker.
             task_id: the task.
             number: number of the run.
+            sent_ms: time when the request was sent, in ms.
             reply: the reply, or why there is none.
         """
         worker = self.workers.get(name)
@@ -434,7 +454,7 @@
         run = worker.runs.get(task_id)
         if run is not None and run.number == number:
             self._on_stop_result(worker, run, reply.result)
-        self._apply_result(worker, reply.result)
+        self._apply_result(worker, reply.result, sent_ms)
 
     def _on_stop_result(
         self, worker: Worker, run: Run, result: CommandResult
@@ -519,18 +539,19 @@
     def _on_poll_failed(
         self, worker: Worker, result: CommandResult, sent_ms: float
     ) -> None:
-        """Handles a poll that was rejected or got no reply.
+        """Handles a poll that was rejected or got no reply."""
+        if result is CommandResult.LOST:
+            self._on_unanswered(worker, sent_ms)
+        else:
+            self._apply_result(worker, result, sent_ms)
+
+    def _on_unanswered(self, worker: Worker, sent_ms: float) -> None:
+        """Handles a request without a reply.
 
-        A poll without a reply says nothing about the worker if a later one
-        was accepted.
+        It says nothing about the worker if a later poll was accepted.
         """
-        is_unanswered = result in (CommandResult.LOST, CommandResult.UNREACHED)
-        if is_unanswered and sent_ms < worker.synced_ms:
-            return
-        if result is CommandResult.LOST:
+        if sent_ms >= worker.synced_ms:
             self._on_unreachable(worker)
-        else:
-            self._apply_result(worker, result)
 
     def _record_reply(self, worker: Worker, clock_ms: float | None) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -103,6 +103,8 @@
             authoritative reply.
         cancelled_ms: time at which the caller got the confirmation of a cancel,
             by job.
+        connect_timeout_ms: time after which a request to an unreachable worker
+            ends without a connection, in ms; None if its reply is lost instead.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         self.reported_states: dict[str, JobState | None] = {}
         self.unresolved_requests = 0
         self.cancelled_ms: dict[str, float] = {}
+        self.connect_timeout_ms: float | None = None
         self._partitioned: set[str] = set()
         self._isolated: set[str] = set()
         self._refusing: set[str] = set()
@@ -512,8 +515,26 @@
             DELAY_MS, lambda: self.advisor.request_tickets(request, reply)
         )
 
+    def _fail_later(
+        self, timeout_ms: float, send_reply: Callable[[CommandResult], None]
+    ) -> None:
+        """Ends a request to an unreachable worker.
+
+        Args:
+            timeout_ms: time after which its reply counts as lost, in ms.
+            send_reply: passes the result to the sender.
+        """
+        if self.connect_timeout_ms is None:
+            self.call_later(timeout_ms, lambda: send_reply(CommandResult.LOST))
+        else:
+            self.call_later(
+                self.connect_timeout_ms,
+                lambda: send_reply(CommandResult.UNREACHED),
+            )
+
     def _start_run(self, entry: EntryNode, command: StartRun) -> None:
         worker = self._find_reachable(entry, command.worker)
+        sent_ms = self.clock.now_ms()
 
         def send_reply(result: CommandResult) -> None:
             clock_ms = self.workers[command.worker].clock_ms
@@ -521,16 +542,18 @@
             self._deliver_reply(
                 entry,
                 lambda: entry.on_start_reply(
-                    command.worker, command.task_id, command.number, reply
+                    command.worker,
+                    command.task_id,
+                    command.number,
+                    sent_ms,
+                    reply,
                 ),
             )
 
         if command.worker in self._refusing:
             send_reply(CommandResult.UNREACHED)
         elif worker is None:
-            self.call_later(
-                COMMAND_TIMEOUT_MS, lambda: send_reply(CommandResult.LOST)
-            )
+            self._fail_later(COMMAND_TIMEOUT_MS, send_reply)
         elif self.rng.random() < worker.delayed_start_share:
             late_ms = MAX_START_DELAY_MS * self.rng.random()
             born_ms = worker.info.born_ms
@@ -549,6 +572,7 @@
 
     def _stop_run(self, entry: EntryNode, command: StopRun) -> None:
         worker = self._find_reachable(entry, command.worker)
+        sent_ms = self.clock.now_ms()
 
         def send_reply(result: CommandResult) -> None:
             clock_ms = self.workers[command.worker].clock_ms
@@ -556,16 +580,18 @@
             self._deliver_reply(
                 entry,
                 lambda: entry.on_stop_reply(
-                    command.worker, command.task_id, command.number, reply
+                    command.worker,
+                    command.task_id,
+                    command.number,
+                    sent_ms,
+                    reply,
                 ),
             )
 
         if command.worker in self._refusing:
             send_reply(CommandResult.UNREACHED)
         elif worker is None:
-            self.call_later(
-                COMMAND_TIMEOUT_MS, lambda: send_reply(CommandResult.LOST)
-            )
+            self._fail_later(COMMAND_TIMEOUT_MS, send_reply)
         else:
             self.call_later(DELAY_MS, lambda: send_reply(worker.stop(command)))
 
@@ -591,9 +617,10 @@
         if request.worker in self._refusing:
             send_reply(PollReply(CommandResult.UNREACHED))
         elif worker is None:
-            lost = PollReply(CommandResult.LOST)
-            wait_ms = request.wait_ms + POLL_SLACK_MS
-            self.call_later(wait_ms, lambda: send_reply(lost))
+            self._fail_later(
+                request.wait_ms + POLL_SLACK_MS,
+                lambda result: send_reply(PollReply(result)),
+            )
         else:
             self.call_later(
                 DELAY_MS, lambda: worker.poll(request, reply_if_reachable)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -287,7 +287,7 @@
     assert all(worker.is_synced for worker in fleet.workers.values())
 
 
-def _site_whose_hall_rejoined(offset_ms):
+def _site_whose_hall_rejoined(offset_ms, connect_timeout_ms=None):
     """Returns a site where starts were in flight when a hall was cut off.
 
     The holder then polls the hall's workers by probes, too, once the hall has
@@ -298,7 +298,9 @@
         worker.task_ms = 400.0
     site.submit("a-1/1", "started-into-the-partition", count=12)
     site.partition("b")
-    site.run(1500 + offset_ms)
+    site.run(200)
+    site.connect_timeout_ms = connect_timeout_ms
+    site.run(1300 + offset_ms)
     for number in range(3):
         site.submit("b-1/1", f"job-{number}", count=1)
     site.run(20)
@@ -333,11 +335,12 @@
     assert site.overlapping_runs() == []
 
 
+@pytest.mark.parametrize("connect_timeout_ms", [None, 500.0])
 @pytest.mark.parametrize("offset_ms", range(60, 240, 40))
-def test_worker_stays_reachable_when_a_poll_older_than_the_answered_times_out(
-    offset_ms,
+def test_worker_stays_reachable_when_a_request_older_than_its_reply_fails(
+    offset_ms, connect_timeout_ms
 ):
-    site = _site_whose_hall_rejoined(offset_ms)
+    site = _site_whose_hall_rejoined(offset_ms, connect_timeout_ms)
     workers = site.entries[HOLDER].dispatcher.fleet.workers
     seen = set()
     for _ in range(1000):
