Claim inherited runs before tasks are placed

What callers saw: a task ran twice at the same time, for up to 0.8 s, when its job was submitted again at another entry node after the holder was killed, or when the new holder learned of a worker only after it had resolved the job.

Cause: inherited runs were claimed once, when a job that was sent to an earlier holder was resolved, and for kept jobs until they were resolved. A job that was submitted anew, and any run that became known later, were not compared; the run was then stopped as an orphan after 800 ms while its task ran elsewhere. Also, the end of one run of a task removed another inherited run of the task from the fleet's table, so that it was neither claimed nor stopped.

Change: `Dispatcher._claim_inherited` claims the known runs of all open jobs, kept or not, before each placement and in each tick, so that no task starts beside one. Runs of a gang that is claimed in part are stopped, and the gang starts as a whole once they have ended. A standby claims nothing; its jobs wait there until the runs have ended. Jobs that wait for the polls of all workers still claim their runs when these are done.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -317,6 +317,7 @@
             self.fleet.sole_holder_until_ms = self.kept_jobs.store.confirmed_ms
         self.fleet.tick()
         self._resolve_inherited(now_ms)
+        self._claim_inherited()
         if self.kept_jobs:
             self.kept_jobs.tick()
         for open_job in list(self._jobs.by_key.values()):
@@ -371,26 +372,22 @@
         for since_ms, open_job in list(self._unresolved.values()):
             if self.fleet.is_synced_since(since_ms):
                 del self._unresolved[open_job.job.key]
-                self._claim_runs(open_job, now_ms - since_ms)
+                self._resolve(open_job, now_ms - since_ms)
             elif now_ms - since_ms >= SYNC_TIMEOUT_MS:
                 self._abort(open_job, Reason.HOLDER_LOST)
 
-    def _claim_runs(self, open_job: OpenJob, waited_ms: float) -> None:
+    def _resolve(self, open_job: OpenJob, waited_ms: float) -> None:
         """Assigns to a job's tasks their inherited runs and recorded ends.
 
         Args:
             open_job: the job.
             waited_ms: how long the job waited for the polls, in ms.
         """
-        claimed = done = 0
+        claimed = self._claim_runs(open_job)
+        done = 0
         for task in open_job.all_tasks():
-            if self.fleet.claim_inherited_run(
-                task, self._admission.expected_ms(open_job.job, task)
-            ):
-                task.state = TaskState.PLACED
-                open_job.is_started = True
-                claimed += 1
-            elif self.fleet.recorded_end(task.id) is EndKind.DONE:
+            is_waiting = task.state is TaskState.WAITING
+            if is_waiting and self.fleet.recorded_end(task.id) is EndKind.DONE:
                 task.state = TaskState.DONE
                 done += 1
         emit(
@@ -407,6 +404,40 @@
         if open_job.is_done:
             self._finish(open_job, Verdict.COMPLETED, Reason.NONE)
 
+    def _claim_inherited(self) -> set[str]:
+        """Claims the inherited runs of open jobs.
+
+        A task with a known run is not started again. A standby claims no runs,
+        so the jobs that it has inherited runs of wait until these have ended.
+
+        Returns:
+            Keys of the jobs that must wait.
+        """
+        keys = {task_id.job for task_id in self.fleet.inherited}
+        if self.fleet.is_standby:
+            return keys
+        for key in sorted(keys - self._unresolved.keys()):
+            open_job = self._jobs.by_key.get(key)
+            if open_job is None or not self._claim_runs(open_job):
+                continue
+            if open_job.is_placeable:
+                self._stop_all(open_job.runs_of_partial_gangs())
+        return set()
+
+    def _claim_runs(self, open_job: OpenJob) -> int:
+        """Assigns inherited runs to a job's waiting tasks; returns how many."""
+        claimed = 0
+        for task in open_job.all_tasks():
+            is_waiting = task.state is TaskState.WAITING
+            if not is_waiting or task.id not in self.fleet.inherited:
+                continue
+            expected_ms = self._admission.expected_ms(open_job.job, task)
+            self.fleet.claim_inherited_run(task, expected_ms)
+            task.state = TaskState.PLACED
+            open_job.is_started = True
+            claimed += 1
+        return claimed
+
     # Placement.
 
     def place_tasks(self) -> None:
@@ -419,11 +450,14 @@
             return
         self._is_changed = False
         self._jobs.is_changed = False
+        blocked_keys = self._claim_inherited()
         now_ms = self._clock.now_ms()
         workers = self.fleet.workers.values()
         selector = WorkerSelector(workers, self.tickets, now_ms)
         misses = 0
         for open_job in self._jobs.waiting_jobs():
+            if open_job.job.key in blocked_keys:
+                continue
             if not open_job.is_placeable or not self._may_place(open_job):
                 continue
             misses = 0 if self._place_job(open_job, selector) else misses + 1
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -667,7 +667,8 @@
                 ran_ms=round(self._clock.now_ms() - run.commanded_ms),
             )
         worker.release(run)
-        self.inherited.pop(run.task_id, None)
+        if self.inherited.get(run.task_id) is run:
+            del self.inherited[run.task_id]
         self._listener.on_run_end(run, end, worker)
 
     # Periodic work.
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -530,16 +530,14 @@
             del self._outcomes[key]
 
     def _resolve_inherited(self, now_ms: float) -> None:
-        """Assigns inherited runs to the loaded jobs.
+        """Stops inherited runs of ended jobs and lets loaded jobs be placed.
 
-        The jobs' remaining tasks are placed once no unknown run of them can
-        exist.
+        The tasks of loaded jobs without a known run are placed once no unknown
+        run of them can exist.
         """
         for run in list(self._fleet.inherited.values()):
-            key = run.task_id.job
-            if key in self._unresolved:
-                self._claim_run(self._unresolved[key], run)
-            elif key in self._outcomes and run.state is RunState.RUNNING:
+            is_running = run.state is RunState.RUNNING
+            if is_running and run.task_id.job in self._outcomes:
                 self._fleet.stop(run)
         if not self._unresolved or not self._can_resolve(now_ms):
             return
@@ -559,16 +557,6 @@
             self._loaded_ms
         )
 
-    def _claim_run(self, open_job: OpenJob, run: Run) -> None:
-        """Assigns an inherited run to its task if the task is waiting."""
-        task = open_job.task_of(run.task_id)
-        if task.state is not TaskState.WAITING:
-            return
-        expected_ms = self._admission.expected_ms(open_job.job, task)
-        if self._fleet.claim_inherited_run(task, expected_ms):
-            task.state = TaskState.PLACED
-            open_job.is_started = True
-
     def _check_authority(self, now_ms: float) -> None:
         """Stops runs of kept jobs that another holder may start elsewhere."""
         has_authority = self.store.has_authority
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -11,9 +11,11 @@
     DEFAULT_STEP,
     HALLS,
     HOLDER,
+    SLOT_CPU,
     STANDBYS,
     make_granted_site,
 )
+from clayfield.wire.cluster import WorkerLeft, WorkersPush
 from clayfield.wire.jobs import Verdict
 
 
@@ -346,3 +348,78 @@
         assert seen <= reachable
         seen |= reachable
     assert len(seen) == 6
+
+
+@pytest.mark.parametrize("delay_ms", [400, 700])
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_job_submitted_again_does_not_start_beside_its_inherited_run(
+    is_gang, delay_ms
+):
+    site = make_granted_site(task_ms=1500.0, settle_ms=200)
+    template = msgspec.structs.replace(DEFAULT_STEP, is_gang=is_gang)
+    site.submit(HOLDER, "job", template=template)
+    site.run(50)
+    site.kill(HOLDER)
+    site.run(30)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(delay_ms)
+    site.submit("b-1/1", "job", template=template)
+    site.run(5000)
+    assert site.find_violations() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+def _site_with_late_worker(is_gang):
+    """Returns a site whose new holder lacks a worker that runs a task.
+
+    The task's job waits there for a free worker.
+    """
+    site = _site()
+    site.partition("b")
+    site.run(800)
+    site.kill(HOLDER)
+    site.restart("a-0/2", "a", {"a", "c"})
+    site.grant("a-0/2", STANDBYS)
+    site.run(400)
+    for worker in site.workers.values():
+        worker.task_ms = 1200.0 if worker.info.hall == "b" else 300.0
+    site.submit("a-1/1", "other", count=8)
+    whole_worker = msgspec.structs.replace(DEFAULT_STEP, cpu=2 * SLOT_CPU)
+    site.submit("b-1/1", "hall-filler", count=1, template=whole_worker)
+    site.run(20)
+    template = msgspec.structs.replace(DEFAULT_STEP, is_gang=is_gang)
+    site.submit("b-1/1", "job", count=2, template=template)
+    site.run(20)
+    name = site.runs[-1].worker
+    site.entries["b-1/1"].on_message("control", WorkerLeft(name))
+    site.heal("b")
+    site.grant("a-0/2", STANDBYS)
+    site.run(100)
+    return site, site.workers[name]
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_queued_task_does_not_start_beside_a_run_that_is_inherited_late(
+    is_gang,
+):
+    site, worker = _site_with_late_worker(is_gang)
+    site.entries["a-0/2"].on_message("control", WorkersPush((worker.info,)))
+    site.run(4000)
+    assert site.find_violations() == []
+    assert set(_verdicts(site)) == {"other", "hall-filler", "job"}
+
+
+@pytest.mark.parametrize("offset_ms", range(260, 360, 20))
+def test_standby_does_not_start_a_job_beside_a_run_that_it_is_stopping(
+    offset_ms,
+):
+    site = make_granted_site(task_ms=1500.0, settle_ms=200)
+    template = msgspec.structs.replace(DEFAULT_STEP, required_label="rack-b")
+    site.submit(HOLDER, "job", count=1, template=template)
+    site.run(50)
+    site.partition("b")
+    site.run(offset_ms)
+    site.submit("b-1/1", "job", count=1, template=template)
+    site.run(4000)
+    assert site.overlapping_runs() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
