Match early jobs with the grant that they name

What callers saw: a job that reached the holder before the grant that renews it was lost, so that its caller waited until the time-out; a job that reached a standby under an earlier grant was started there up to 1 s later, while the holder ran it, too.

Cause: deferred jobs were passed on only to a new dispatcher, whatever grant they named, not to one that continues under the next grant. Their senders forward their jobs again on a grant that changes the holder, but not on one that names the same holder again. A sender that had missed a grant to another node in between did not forward them either.

Change: deferred jobs are processed on a renewal, too. A job that was sent under a grant before those of the dispatcher is dropped; the holder still takes those of the grant right before its first, which a sender that had this node as the holder under both does not send again. A sender forwards its jobs again unless the new grant directly follows its last one and names the same holder.

A job that arrives more than 1 s before its grant is still discarded.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -78,6 +78,7 @@
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
         self._early_submits: list[tuple[float, str, SubmitJob]] = []
+        self._min_submit_epoch = 0
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
         self._started_ms = clock.now_ms()
@@ -262,11 +263,26 @@
         return not self._is_hall_only or info.hall == self.hall
 
     def _on_submit(self, node: str, submit: SubmitJob) -> None:
-        """Passes a job to the dispatcher, or defers it until the grant."""
-        if self.dispatcher and submit.epoch <= self.epoch:
-            self.dispatcher.on_submit(node, submit)
-        else:
+        """Passes a job to the dispatcher, or defers it until the grant.
+
+        A job that was sent under a grant before those of the dispatcher is
+        dropped: its sender forwards it again under a later grant.
+        """
+        if self.dispatcher is None or submit.epoch > self.epoch:
             self._early_submits.append((self._clock.now_ms(), node, submit))
+        elif submit.epoch >= self._min_submit_epoch:
+            self.dispatcher.on_submit(node, submit)
+
+    def _process_early_submits(self) -> None:
+        """Processes the deferred jobs whose grant has arrived."""
+        early_submits = self._early_submits
+        self._early_submits = []
+        for early_submit in early_submits:
+            _, node, submit = early_submit
+            if submit.epoch > self.epoch:
+                self._early_submits.append(early_submit)
+            else:
+                self._on_submit(node, submit)
 
     # Grants and scheduling.
 
@@ -306,6 +322,7 @@
         if not self._is_hall_only and not dispatcher.is_next_epoch(self.epoch):
             return False
         dispatcher.renew_grant(fence, self.epoch)
+        self._process_early_submits()
         return True
 
     def _create_dispatcher(self) -> None:
@@ -326,10 +343,11 @@
             if self._is_scheduled_here(info):
                 self.dispatcher.on_worker_heartbeat(info)
         self.callers.mark_unsent(self.node)
-        early_submits = self._early_submits
-        self._early_submits = []
-        for _, node, submit in early_submits:
-            self._on_submit(node, submit)
+        # A sender that had this node as the holder under the preceding grant,
+        # too, does not forward its jobs again.
+        is_holder = not self._is_hall_only
+        self._min_submit_epoch = self.epoch - 1 if is_holder else self.epoch
+        self._process_early_submits()
         self.callers.forward_all()
 
     @property
--- a/packages/pool/src/clayfield/pool/role.py
+++ b/packages/pool/src/clayfield/pool/role.py
@@ -98,9 +98,14 @@
         """Handles a new grant.
 
         Returns:
-            Whether jobs continue to be sent to the same node.
+            Whether jobs continue to be sent to the same node, and it was
+            certainly the holder all the time.
         """
-        is_same = grant.holder == self.grant.holder and not self.uses_standby
+        is_same = (
+            grant.holder == self.grant.holder
+            and grant.epoch == self.grant.epoch + 1
+            and not self.uses_standby
+        )
         self.grant = grant
         # A grant proves a recent connection to a majority of control nodes.
         self._last_outside_ms = self._clock.now_ms()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,6 +7,8 @@
 import msgspec
 import pytest
 
+from clayfield.base import ManualClock
+from clayfield.pool import EntryNode, PoolTiming, SendToNode
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HALLS,
@@ -15,8 +17,14 @@
     STANDBYS,
     make_granted_site,
 )
-from clayfield.wire.cluster import WorkerLeft, WorkersPush
-from clayfield.wire.jobs import Verdict
+from clayfield.wire.cluster import (
+    Grant,
+    NodeGreeting,
+    SubmitJob,
+    WorkerLeft,
+    WorkersPush,
+)
+from clayfield.wire.jobs import Job, Verdict
 
 
 def _site(seed=1, workers=2):
@@ -423,3 +431,87 @@
     site.run(4000)
     assert site.overlapping_runs() == []
     assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+@pytest.mark.parametrize("late_ms", [5, 20, 40])
+def test_job_that_arrives_before_its_holder_renews_the_grant_is_not_lost(
+    late_ms,
+):
+    site = _site()
+    site.partition("c")
+    site.run(600)
+    site.submit("c-1/1", "job")
+    site.run(5)
+    site.heal("c")
+    site.entries["c-1/1"].on_message("control", Grant(2, HOLDER, STANDBYS))
+    site.run(late_ms)
+    site.grant(HOLDER, STANDBYS)
+    site.run(2000)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+def test_standby_does_not_start_a_job_that_was_sent_under_an_earlier_grant():
+    site = make_granted_site(task_ms=900.0, settle_ms=200)
+    site.partition("c")
+    # The standby still reaches a control node; the other entry node does not.
+    outside = NodeGreeting("test", "control-a/1", "control", "a")
+    site.entries["c-0/1"].on_connected(outside)
+    site.run(340)
+    site.submit("c-1/1", "job", count=1)
+    site.run(20)
+    site.heal("c")
+    site.grant(HOLDER, STANDBYS)
+    site.run(300)
+    site.partition("c")
+    site.run(1000)
+    assert site.overlapping_runs() == []
+
+
+def _job():
+    steps = (DEFAULT_STEP,)
+    return Job("job", "queue", "service", "", steps, 0, 3, 1.6, 60.0, 5000.0)
+
+
+@pytest.mark.parametrize("is_early", [False, True])
+@pytest.mark.parametrize(
+    ("holders", "is_accepted"),
+    [
+        (["a-0/1"], True),
+        (["a-0/1", "a-0/1", "a-0/1"], True),
+        (["", "a-0/1"], True),
+        (["b-0/1", "a-0/1"], True),
+        (["a-0/1", "b-0/1", "a-0/1"], False),
+        (["a-0/1", "b-0/1", "a-0/1", "a-0/1"], False),
+    ],
+)
+def test_holder_drops_only_jobs_that_their_sender_forwards_again(
+    holders, is_accepted, is_early
+):
+    node = EntryNode(HOLDER, "a", ManualClock(), PoolTiming())
+    submit = SubmitJob(_job(), 0.0, 1)
+    if is_early:
+        node.on_message("c-1/1", submit)
+    for number, holder in enumerate(holders):
+        if holder:
+            node.on_message("control", Grant(number + 1, holder))
+    if not is_early:
+        node.on_message("c-1/1", submit)
+    assert bool(node.dispatcher.open_jobs) == is_accepted
+
+
+@pytest.mark.parametrize(("epoch", "count"), [(2, 1), (3, 2)])
+def test_job_is_forwarded_again_if_a_grant_to_another_node_may_be_missing(
+    epoch, count
+):
+    node = EntryNode("c-1/1", "c", ManualClock(), PoolTiming())
+    node.on_connected(NodeGreeting("test", HOLDER, "entry", "a"))
+    node.on_message("control", Grant(1, HOLDER))
+    node.submit(_job(), 1)
+    node.on_message("control", Grant(epoch, HOLDER))
+    messages = [
+        action.message
+        for action in node.take_actions()
+        if isinstance(action, SendToNode)
+    ]
+    submits = [each for each in messages if isinstance(each, SubmitJob)]
+    assert len(submits) == count
