Send the workers again after the connection to the holder was lost

What callers saw: a task ran twice at the same time after a hall rejoined: on a worker of its hall, and again on one that the holder knew.

Cause: an entry node sends its workers, of which the holder may lack some, with the jobs that an earlier holder may have started, once for each grant. If that message is lost with the connection, the jobs are forwarded again without it, and the holder resolves them without the workers that run them.

Change: the record of where the workers were sent is cleared when the connection to that node is lost.

Measured: before, the test fails with 2 pairs of overlapping runs; after, it passes. test_pool, test_kept, test_gangs, test_timed, test_lasting, test_advice: 392 passed.

--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -65,7 +65,7 @@
 
     @abc.abstractmethod
     def send_workers(self) -> None:
-        """Sends all workers known here to the holder, once for each grant."""
+        """Sends all workers known here to the holder, if it may lack them."""
 
 
 class _Pending:
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -170,11 +170,12 @@
             self._actions.append(SendToNode(holder, message))
 
     def send_workers(self) -> None:
-        """Sends all workers known here to the holder, once for each grant.
+        """Sends all workers known here to the holder, if it may lack them.
 
-        A new holder may lack workers whose heartbeats only the control node
-        of this hall has received, while a job that is sent with this message
-        runs on one of them.
+        They are sent once for each grant and connection. A new holder may lack
+        workers whose heartbeats only the control node of this hall has
+        received, while a job that is sent with this message runs on one of
+        them.
         """
         recipient = (self.holder, self.epoch)
         if recipient == self._workers_sent_to or self.holder == self.node:
@@ -196,6 +197,8 @@
         """Handles the loss of the connection to a node."""
         self._role.update_reachability(self._open_nodes.values())
         self._open_nodes.pop(node, None)
+        if node == self._workers_sent_to[0]:
+            self._workers_sent_to = ("", 0)
         self.callers.mark_unsent(node)
 
     def on_message(self, node: str, message: Message) -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -515,3 +515,26 @@
     ]
     submits = [each for each in messages if isinstance(each, SubmitJob)]
     assert len(submits) == count
+
+
+def test_workers_are_sent_again_after_the_connection_to_the_holder_was_lost():
+    site = make_granted_site(task_ms=400.0, settle_ms=200)
+    site.partition("b")
+    site.run(800)
+    site.kill(HOLDER)
+    site.restart("a-0/2", "a", {"a", "c"})
+    site.grant("a-0/2", STANDBYS)
+    site.run(400)
+    site.submit("b-1/1", "job", count=2)
+    site.run(20)
+    entry = site.entries["b-1/1"]
+    entry.on_connected(NodeGreeting("test", "a-0/2", "entry", "a"))
+    entry.on_message("control", Grant(3, "a-0/2", STANDBYS))
+    # The workers and the job are lost with the connection.
+    entry.take_actions()
+    entry.on_disconnected("a-0/2")
+    site.heal("b")
+    site.grant("a-0/2", STANDBYS)
+    site.run(3000)
+    assert site.overlapping_runs() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
