--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -79,6 +79,7 @@
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
         self._early_submits: list[tuple[float, str, SubmitJob]] = []
+        self._min_submit_epoch = 0
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
         self._started_ms = clock.now_ms()
@@ -170,11 +171,12 @@
             self._actions.append(SendToNode(holder, message))
 
     def send_workers(self) -> None:
-        """Sends all workers known here to the holder, once for each grant.
+        """Sends all workers known here to the holder, if it may lack them.
 
-        A new holder may lack workers whose heartbeats only the control node
-        of this hall has received, while a job that is sent with this message
-        runs on one of them.
+        They are sent once for each grant and connection. A new holder may lack
+        workers whose heartbeats only the control node of this hall has
+        received, while a job that is sent with this message runs on one of
+        them.
         """
         recipient = (self.holder, self.epoch)
         if recipient == self._workers_sent_to or self.holder == self.node:
@@ -196,6 +198,8 @@
         """Handles the loss of the connection to a node."""
         self._role.update_reachability(self._open_nodes.values())
         self._open_nodes.pop(node, None)
+        if node == self._workers_sent_to[0]:
+            self._workers_sent_to = ("", 0)
         self.callers.mark_unsent(node)
 
     def on_message(self, node: str, message: Message) -> None:
@@ -276,11 +280,26 @@
         return not self._is_hall_only or info.hall == self.hall
 
     def _on_submit(self, node: str, submit: SubmitJob) -> None:
-        """Passes a job to the dispatcher, or defers it until the grant."""
-        if self.dispatcher and submit.epoch <= self.epoch:
-            self.dispatcher.on_submit(node, submit)
-        else:
+        """Passes a job to the dispatcher, or defers it until the grant.
+
+        A job that was sent under a grant before those of the dispatcher is
+        dropped: its sender forwards it again under a later grant.
+        """
+        if self.dispatcher is None or submit.epoch > self.epoch:
             self._early_submits.append((self._clock.now_ms(), node, submit))
+        elif submit.epoch >= self._min_submit_epoch:
+            self.dispatcher.on_submit(node, submit)
+
+    def _process_early_submits(self) -> None:
+        """Processes the deferred jobs whose grant has arrived."""
+        early_submits = self._early_submits
+        self._early_submits = []
+        for early_submit in early_submits:
+            _, node, submit = early_submit
+            if submit.epoch > self.epoch:
+                self._early_submits.append(early_submit)
+            else:
+                self._on_submit(node, submit)
 
     # Grants and scheduling.
 
@@ -320,6 +339,7 @@
         if not self._is_hall_only and not dispatcher.is_next_epoch(self.epoch):
             return False
         dispatcher.renew_grant(fence, self.epoch)
+        self._process_early_submits()
         return True
 
     def _create_dispatcher(self) -> None:
@@ -340,10 +360,11 @@
             if self._is_scheduled_here(info):
                 self.dispatcher.on_worker_heartbeat(info)
         self.callers.mark_unsent(self.node)
-        early_submits = self._early_submits
-        self._early_submits = []
-        for _, node, submit in early_submits:
-            self._on_submit(node, submit)
+        # A sender that had this node as the holder under the preceding grant,
+        # too, does not forward its jobs again.
+        is_holder = not self._is_hall_only
+        self._min_submit_epoch = self.epoch - 1 if is_holder else self.epoch
+        self._process_early_submits()
         self.callers.forward_all()
 
     @property
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,14 +7,24 @@
 import msgspec
 import pytest
 
+from clayfield.base import ManualClock
+from clayfield.pool import EntryNode, PoolTiming, SendToNode
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HALLS,
     HOLDER,
+    SLOT_CPU,
     STANDBYS,
     make_granted_site,
 )
-from clayfield.wire.jobs import Verdict
+from clayfield.wire.cluster import (
+    Grant,
+    NodeGreeting,
+    SubmitJob,
+    WorkerLeft,
+    WorkersPush,
+)
+from clayfield.wire.jobs import Job, Verdict
 
 
 def _site(seed=1, workers=2):
@@ -349,3 +359,185 @@
         assert seen <= reachable
         seen |= reachable
     assert len(seen) == 6
+
+
+@pytest.mark.parametrize("delay_ms", [400, 700])
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_job_submitted_again_does_not_start_beside_its_inherited_run(
+    is_gang, delay_ms
+):
+    site = make_granted_site(task_ms=1500.0, settle_ms=200)
+    template = msgspec.structs.replace(DEFAULT_STEP, is_gang=is_gang)
+    site.submit(HOLDER, "job", template=template)
+    site.run(50)
+    site.kill(HOLDER)
+    site.run(30)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(delay_ms)
+    site.submit("b-1/1", "job", template=template)
+    site.run(5000)
+    assert site.find_violations() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+def _site_with_late_worker(is_gang):
+    """Returns a site whose new holder lacks a worker that runs a task.
+
+    The task's job waits there for a free worker.
+    """
+    site = _site()
+    site.partition("b")
+    site.run(800)
+    site.kill(HOLDER)
+    site.restart("a-0/2", "a", {"a", "c"})
+    site.grant("a-0/2", STANDBYS)
+    site.run(400)
+    for worker in site.workers.values():
+        worker.task_ms = 1200.0 if worker.info.hall == "b" else 300.0
+    site.submit("a-1/1", "other", count=8)
+    whole_worker = msgspec.structs.replace(DEFAULT_STEP, cpu=2 * SLOT_CPU)
+    site.submit("b-1/1", "hall-filler", count=1, template=whole_worker)
+    site.run(20)
+    template = msgspec.structs.replace(DEFAULT_STEP, is_gang=is_gang)
+    site.submit("b-1/1", "job", count=2, template=template)
+    site.run(20)
+    name = site.runs[-1].worker
+    site.entries["b-1/1"].on_message("control", WorkerLeft(name))
+    site.heal("b")
+    site.grant("a-0/2", STANDBYS)
+    site.run(100)
+    return site, site.workers[name]
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_queued_task_does_not_start_beside_a_run_that_is_inherited_late(
+    is_gang,
+):
+    site, worker = _site_with_late_worker(is_gang)
+    site.entries["a-0/2"].on_message("control", WorkersPush((worker.info,)))
+    site.run(4000)
+    assert site.find_violations() == []
+    assert set(_verdicts(site)) == {"other", "hall-filler", "job"}
+
+
+@pytest.mark.parametrize("offset_ms", range(260, 360, 20))
+def test_standby_does_not_start_a_job_beside_a_run_that_it_is_stopping(
+    offset_ms,
+):
+    site = make_granted_site(task_ms=1500.0, settle_ms=200)
+    template = msgspec.structs.replace(DEFAULT_STEP, required_label="rack-b")
+    site.submit(HOLDER, "job", count=1, template=template)
+    site.run(50)
+    site.partition("b")
+    site.run(offset_ms)
+    site.submit("b-1/1", "job", count=1, template=template)
+    site.run(4000)
+    assert site.overlapping_runs() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+@pytest.mark.parametrize("late_ms", [5, 20, 40])
+def test_job_that_arrives_before_its_holder_renews_the_grant_is_not_lost(
+    late_ms,
+):
+    site = _site()
+    site.partition("c")
+    site.run(600)
+    site.submit("c-1/1", "job")
+    site.run(5)
+    site.heal("c")
+    site.entries["c-1/1"].on_message("control", Grant(2, HOLDER, STANDBYS))
+    site.run(late_ms)
+    site.grant(HOLDER, STANDBYS)
+    site.run(2000)
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+def test_standby_does_not_start_a_job_that_was_sent_under_an_earlier_grant():
+    site = make_granted_site(task_ms=900.0, settle_ms=200)
+    site.partition("c")
+    # The standby still reaches a control node; the other entry node does not.
+    outside = NodeGreeting("test", "control-a/1", "control", "a")
+    site.entries["c-0/1"].on_connected(outside)
+    site.run(340)
+    site.submit("c-1/1", "job", count=1)
+    site.run(20)
+    site.heal("c")
+    site.grant(HOLDER, STANDBYS)
+    site.run(300)
+    site.partition("c")
+    site.run(1000)
+    assert site.overlapping_runs() == []
+
+
+def _job():
+    steps = (DEFAULT_STEP,)
+    return Job("job", "queue", "service", "", steps, 0, 3, 1.6, 60.0, 5000.0)
+
+
+@pytest.mark.parametrize("is_early", [False, True])
+@pytest.mark.parametrize(
+    ("holders", "is_accepted"),
+    [
+        (["a-0/1"], True),
+        (["a-0/1", "a-0/1", "a-0/1"], True),
+        (["", "a-0/1"], True),
+        (["b-0/1", "a-0/1"], True),
+        (["a-0/1", "b-0/1", "a-0/1"], False),
+        (["a-0/1", "b-0/1", "a-0/1", "a-0/1"], False),
+    ],
+)
+def test_holder_drops_only_jobs_that_their_sender_forwards_again(
+    holders, is_accepted, is_early
+):
+    node = EntryNode(HOLDER, "a", ManualClock(), PoolTiming())
+    submit = SubmitJob(_job(), 0.0, 1)
+    if is_early:
+        node.on_message("c-1/1", submit)
+    for number, holder in enumerate(holders):
+        if holder:
+            node.on_message("control", Grant(number + 1, holder))
+    if not is_early:
+        node.on_message("c-1/1", submit)
+    assert bool(node.dispatcher.open_jobs) == is_accepted
+
+
+@pytest.mark.parametrize(("epoch", "count"), [(2, 1), (3, 2)])
+def test_job_is_forwarded_again_if_a_grant_to_another_node_may_be_missing(
+    epoch, count
+):
+    node = EntryNode("c-1/1", "c", ManualClock(), PoolTiming())
+    node.on_connected(NodeGreeting("test", HOLDER, "entry", "a"))
+    node.on_message("control", Grant(1, HOLDER))
+    node.submit(_job(), 1)
+    node.on_message("control", Grant(epoch, HOLDER))
+    messages = [
+        action.message
+        for action in node.take_actions()
+        if isinstance(action, SendToNode)
+    ]
+    submits = [each for each in messages if isinstance(each, SubmitJob)]
+    assert len(submits) == count
+
+
+def test_workers_are_sent_again_after_the_connection_to_the_holder_was_lost():
+    site = make_granted_site(task_ms=400.0, settle_ms=200)
+    site.partition("b")
+    site.run(800)
+    site.kill(HOLDER)
+    site.restart("a-0/2", "a", {"a", "c"})
+    site.grant("a-0/2", STANDBYS)
+    site.run(400)
+    site.submit("b-1/1", "job", count=2)
+    site.run(20)
+    entry = site.entries["b-1/1"]
+    entry.on_connected(NodeGreeting("test", "a-0/2", "entry", "a"))
+    entry.on_message("control", Grant(3, "a-0/2", STANDBYS))
+    # The workers and the job are lost with the connection.
+    entry.take_actions()
+    entry.on_disconnected("a-0/2")
+    site.heal("b")
+    site.grant("a-0/2", STANDBYS)
+    site.run(3000)
+    assert site.overlapping_runs() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
