Keep the workers of a hall that is cut off

What callers saw: when a hall rejoined after about 20 s, tasks of its callers ran twice at the same time, and its workers got no work until they changed or a control node connected anew.

Cause: the holder removed workers without a reply for 20 s and had all connected entry nodes forget them, also where their hall was cut off and the hall's standby used them. If the hall rejoined at about that time, the hall's own entry nodes forgot them, too, so that they did not name them to the holder with the jobs that ran there.

Change: a worker is removed by time-out only if its hall has been connected without a new connection for these 20 s. Other unreachable workers stay in the fleet and are polled, so that they return with the first reply, and a job that may run on them is not resolved without them. Their unconfirmed runs, which the removal ended, are ended after the same time, once the lease has certainly lapsed.

A removal by time-out in a connected hall is still broadcast: the entry nodes have no other way to forget a crashed worker.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -74,6 +74,7 @@
         self._role = Role(node, hall, clock)
         self._is_hall_only = False
         self._open_nodes: dict[str, NodeGreeting] = {}
+        self._last_connected_ms: dict[str, float] = {}
         self._workers: dict[str, WorkerInfo] = {}
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
@@ -189,6 +190,7 @@
     def on_connected(self, greeting: NodeGreeting) -> None:
         """Handles a new connection to a node."""
         self._open_nodes[greeting.node] = greeting
+        self._last_connected_ms[greeting.hall] = self._clock.now_ms()
         self._role.update_reachability(self._open_nodes.values())
         if greeting.node == self.holder:
             self.callers.forward_all()
@@ -377,6 +379,7 @@
         self._role.tick()
         self._update_dispatcher()
         if self.dispatcher:
+            self.dispatcher.fleet.hall_connected_ms = self._connected_halls()
             self.dispatcher.tick()
             self._announce_removed_workers(self.dispatcher)
         self.callers.tick()
@@ -390,6 +393,14 @@
             self._send_status()
             self._send_counts()
 
+    def _connected_halls(self) -> dict[str, float]:
+        """Returns the time of the latest new connection, by connected hall."""
+        halls = {greeting.hall for greeting in self._open_nodes.values()}
+        return {
+            hall: self._last_connected_ms.get(hall, self._started_ms)
+            for hall in {*halls, self.hall}
+        }
+
     def _announce_removed_workers(self, dispatcher: Dispatcher) -> None:
         """Notifies all entry nodes of the workers that were removed."""
         for name in dispatcher.fleet.take_removed_workers():
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -35,7 +35,7 @@
 
 # Time after which a stop without a reply is sent again.
 STOP_RETRY_MS = 150.0
-# Time after which an unreachable worker is removed.
+# Time after which an unreachable worker of a connected hall is removed.
 UNREACHABLE_TIMEOUT_MS = 20_000.0
 # Time after which an inherited run that no job has claimed is stopped.
 ORPHAN_TIMEOUT_MS = 800.0
@@ -117,6 +117,8 @@
             holder, so that no other node renewed a lease, in ms; 0 for a
             standby.
         has_kept_jobs: whether kept jobs are in use, as reported to a standby.
+        hall_connected_ms: time of the latest new connection to a node of a
+            hall, by hall, in ms; without the halls that are not connected.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         self.is_standby = is_standby
         self.has_kept_jobs = False
         self.sole_holder_until_ms = 0.0
+        self.hall_connected_ms: dict[str, float] = {}
         self.workers: dict[str, Worker] = {}
         self.actions: list[PoolAction] = []
         self.inherited: dict[TaskId, Run] = {}
@@ -686,12 +689,11 @@
 
     def _tick_worker(self, worker: Worker, now_ms: float) -> None:
         if not worker.is_reachable:
-            outage_ms = now_ms - worker.unreachable_since_ms
-            if outage_ms > UNREACHABLE_TIMEOUT_MS:
+            if self._has_timed_out(worker, now_ms):
                 self.on_worker_removed(worker.name)
                 return
             if worker.lease_ends_ms < min(now_ms, self.sole_holder_until_ms):
-                self._end_lapsed_runs(worker)
+                self._end_lapsed_runs(worker, now_ms)
         if self.is_standby and worker.has_known_usage:
             worker.update_lease_withholding(worker.deferred_end_ms, now_ms)
         self._retry_stops(worker, now_ms)
@@ -729,10 +731,29 @@
             run.is_overdue(now_ms) for run in worker.runs.values()
         )
 
-    def _end_lapsed_runs(self, worker: Worker) -> None:
-        """Ends the confirmed runs of a worker whose lease has lapsed."""
+    def _has_timed_out(self, worker: Worker, now_ms: float) -> bool:
+        """Returns whether an unreachable worker counts as ended.
+
+        A worker in a hall that is not connected, or was not until recently,
+        may be alive, and the hall's standby may be using it.
+        """
+        connected_ms = self.hall_connected_ms.get(worker.info.hall)
+        if connected_ms is None:
+            return False
+        since_ms = max(connected_ms, worker.unreachable_since_ms)
+        return now_ms - since_ms > UNREACHABLE_TIMEOUT_MS
+
+    def _end_lapsed_runs(self, worker: Worker, now_ms: float) -> None:
+        """Ends the runs of an unreachable worker whose lease has lapsed.
+
+        Unconfirmed ones are ended only after the time-out, since a start may
+        be delayed.
+        """
+        outage_ms = now_ms - worker.unreachable_since_ms
+        is_long = outage_ms > UNREACHABLE_TIMEOUT_MS
         for run in list(worker.runs.values()):
-            if run.state is RunState.RUNNING or run.confirmed_ms is not None:
+            is_confirmed = run.confirmed_ms is not None
+            if is_long or is_confirmed or run.state is RunState.RUNNING:
                 self._end_run(
                     worker, run, RunOutcome.LOST, EndCause.LEASE_LAPSED
                 )
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -24,7 +24,7 @@
     WorkerLeft,
     WorkersPush,
 )
-from clayfield.wire.jobs import Job, Verdict
+from clayfield.wire.jobs import Job, JobState, Verdict
 
 
 def _site(seed=1, workers=2):
@@ -538,3 +538,58 @@
     site.run(3000)
     assert site.overlapping_runs() == []
     assert _verdicts(site) == {"job": Verdict.COMPLETED}
+
+
+@pytest.mark.parametrize("partition_ms", [19_800, 20_000, 20_200, 25_000])
+def test_workers_are_not_forgotten_when_their_hall_is_partitioned_for_long(
+    partition_ms,
+):
+    site = make_granted_site(task_ms=700.0, settle_ms=200)
+    site.partition("c")
+    site.run(partition_ms)
+    site.submit("c-1/1", "job", count=2)
+    site.run(10)
+    site.heal("c")
+    site.grant(HOLDER, STANDBYS)
+    site.run(3000)
+    assert site.overlapping_runs() == []
+    assert _verdicts(site) == {"job": Verdict.COMPLETED}
+    for entry in site.entries.values():
+        assert entry.known_workers == set(site.workers)
+    fleet = site.entries[HOLDER].dispatcher.fleet
+    assert all(worker.is_reachable for worker in fleet.workers.values())
+    assert set(fleet.workers) == set(site.workers)
+
+
+def test_crashed_worker_is_removed_at_every_entry_node():
+    site = _site()
+    site.isolate("worker-c-1")
+    site.run(22_000)
+    for entry in site.entries.values():
+        assert entry.known_workers == set(site.workers) - {"worker-c-1"}
+
+
+def test_worker_is_not_removed_right_after_a_node_of_its_hall_reconnects():
+    site = _site()
+    site.isolate("worker-c-1")
+    site.run(19_000)
+    greeting = NodeGreeting("test", "c-1/1", "entry", "c")
+    site.entries[HOLDER].on_connected(greeting)
+    site.run(19_000)
+    assert "worker-c-1" in site.entries["c-1/1"].known_workers
+    site.run(3000)
+    assert "worker-c-1" not in site.entries["c-1/1"].known_workers
+
+
+def test_task_whose_start_got_no_reply_is_placed_again_in_a_long_partition():
+    site = _site()
+    site.submit(HOLDER, "job", count=12, is_kept=True)
+    site.partition("b")
+    site.run(19_000)
+    assert len(site.runs) == 8
+    site.run(3000)
+    assert len(site.runs) == 12
+    site.request_state(HOLDER, "job")
+    site.run(200)
+    assert site.reported_states == {"job": JobState.COMPLETED}
+    assert site.find_violations() == []
