Keep to a refusal whichever copy of the job arrives later

Cause: an entry node sends a job again when its connection to the holder breaks. A holder that thaws reads both copies. It refused the first one, and the refusal reached the caller; the second one, which says that the job may have been started before, was opened without regard to the refusal. Kept jobs had the same fault. An entry node also took a refusal from a node that had meanwhile lost the grant and got it again for one of its new submission.

Change: an entry node numbers its submissions; a copy that is sent again to the same holder under the same grant has the same number. A later number, such as that of a caller who tries again, is served. Results carry the number, too, and an entry node ignores a refusal of any submission but its latest one.

Not covered: a node that loses the grant and gets it again forgets what it refused before. An entry node that missed both grants and reconnects after them may then have a copy opened that its caller knows as refused.

Evidence: the simulated site can delay messages of a node and reconnect it, so that either copy overtakes the other.

--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -77,9 +77,19 @@
         arrived_ms: time of its arrival, in ms.
         sent_to: the holder that has the job, "" if it is to be sent.
         was_sent: whether it was ever sent to a holder.
+        number: number of the latest submission, 0 before the first.
+        grant: the holder and the epoch of the latest submission.
     """
 
-    __slots__ = ("arrived_ms", "job", "sent_to", "request_ids", "was_sent")
+    __slots__ = (
+        "arrived_ms",
+        "grant",
+        "job",
+        "number",
+        "sent_to",
+        "request_ids",
+        "was_sent",
+    )
 
     def __init__(self, job: Job, request_id: int, arrived_ms: float):
         self.job = job
@@ -87,6 +97,8 @@
         self.arrived_ms = arrived_ms
         self.sent_to = ""
         self.was_sent = False
+        self.number = 0
+        self.grant = ("", 0)
 
 
 class _Request:
@@ -123,6 +135,7 @@
         self._pending: dict[str, _Pending] = {}
         self._requests: dict[int, _Request] = {}
         self._last_request = 0
+        self._last_submission = 0
 
     @property
     def open_jobs(self) -> int:
@@ -173,8 +186,9 @@
     def on_job_ended(self, node: str, ended: JobEnded) -> None:
         """Handles the result of a job.
 
-        A former holder may still refuse or abandon a job that was meanwhile
-        sent to its successor; such a result is ignored.
+        A refused or abandoned submission is ignored unless it is the latest
+        one of the job. It may have been followed by a submission to another
+        holder, or by that of a caller who tries again.
 
         Args:
             node: the sender.
@@ -184,7 +198,11 @@
         if pending is None:
             return
         is_final = ended.verdict not in (Verdict.REFUSED, Verdict.ABANDONED)
-        if is_final or pending.sent_to == node:
+        is_latest = pending.sent_to == node and ended.number in (
+            0,
+            pending.number,
+        )
+        if is_final or is_latest:
             self._answer(pending, ended)
 
     def _answer(self, pending: _Pending, ended: JobEnded) -> None:
@@ -232,11 +250,17 @@
             # is kept, which takes a majority of the control nodes. It is sent
             # to the holder once the partition is over.
             return
+        grant = (link.holder, link.epoch)
+        if pending.grant != grant:
+            self._last_submission += 1
+            pending.number = self._last_submission
+            pending.grant = grant
         submit = SubmitJob(
             pending.job,
             self._clock.now_ms() - pending.arrived_ms,
             link.epoch,
             pending.was_sent,
+            pending.number,
         )
         if pending.was_sent:
             link.send_workers()
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -8,6 +8,8 @@
 
 import math
 
+import msgspec
+
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
 from clayfield.pool.admission import Admission
@@ -24,6 +26,7 @@
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.kept import RUNS_PER_EPOCH, KeptJobs
 from clayfield.pool.placement import WorkerSelector
+from clayfield.pool.refusals import Refusals
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.tickets import TicketCache
 from clayfield.pool.timing import PoolTiming
@@ -79,6 +82,7 @@
         self.tickets = TicketCache(clock)
         self._jobs = JobTable()
         self._admission = Admission()
+        self._refusals = Refusals(clock)
         self._intake = Intake(
             clock,
             self.fleet,
@@ -95,6 +99,7 @@
                 self.fleet,
                 self._jobs,
                 self._admission,
+                self._refusals,
                 self._intake.admit,
                 self._finish,
                 listening_since_ms,
@@ -134,25 +139,33 @@
         """Handles a job submitted by an entry node.
 
         A job that is open gets one more entry node to report to; a job that
-        ended recently gets its result again, unless it was refused.
+        ended recently gets its result again. After a refusal the job is opened
+        only by a later submission.
         """
         key = submit.job.key
         if submit.job.is_kept:
             self._on_submit_kept(entry, submit)
             return
+        refusal = self._refusals.find(entry, submit)
+        if refusal:
+            self._send(entry, refusal)
+            return
         existing = self._jobs.by_key.get(key)
         if existing:
-            existing.entries.add(entry)
+            existing.add_entry(entry, submit.number)
             return
-        result = self._results.get(key)
-        if result and result[1].verdict is not Verdict.REFUSED:
-            self._send(entry, result[1])
+        if key in self._results:
+            ended = self._results[key][1]
+            self._send(
+                entry, msgspec.structs.replace(ended, number=submit.number)
+            )
             return
         arrived_ms = self._clock.now_ms() - submit.age_ms
         first_run = 1 + (
             submit.epoch * RUNS_PER_EPOCH if submit.was_sent else 0
         )
-        open_job = OpenJob(submit.job, entry, arrived_ms, first_run)
+        open_job = OpenJob(submit.job, arrived_ms, first_run)
+        open_job.add_entry(entry, submit.number)
         self._jobs.add(open_job)
         if submit.was_sent:
             open_job.late_at_ms = self._admission.late_at_ms(open_job)
@@ -169,7 +182,11 @@
             self.kept_jobs.on_submit(entry, submit)
             return
         refused = JobEnded(
-            submit.job.key, Verdict.REFUSED, Reason.NO_HOLDER, MIN_RETRY_MS
+            submit.job.key,
+            Verdict.REFUSED,
+            Reason.NO_HOLDER,
+            MIN_RETRY_MS,
+            submit.number,
         )
         self._send(entry, refused)
 
@@ -331,6 +348,7 @@
             if now_ms - ended_ms < RESULT_RETENTION_MS:
                 break
             del self._results[key]
+        self._refusals.expire()
         self._is_changed = True
 
     def _move_hung_runs(self, now_ms: float) -> None:
@@ -509,10 +527,14 @@
         self._unresolved.pop(key, None)
         self._log_end(open_job, verdict, reason)
         ended = JobEnded(key, verdict, reason, retry_after_ms)
-        if not open_job.job.is_kept:
+        is_refused = verdict is Verdict.REFUSED
+        if not is_refused and not open_job.job.is_kept:
             self._results[key] = (self._clock.now_ms(), ended)
-        for entry in open_job.entries:
-            self._send(entry, ended)
+        for entry, number in open_job.entries.items():
+            reply = msgspec.structs.replace(ended, number=number)
+            if is_refused:
+                self._refusals.add(entry, reply)
+            self._send(entry, reply)
         for task in open_job.all_tasks():
             if task.run and task.run.state is not RunState.DOUBTFUL:
                 self.fleet.stop(task.run)
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -23,6 +23,7 @@
     JobStoreClient,
 )
 from clayfield.pool.job_table import JobTable
+from clayfield.pool.refusals import Refusals
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import MAX_CLOCK_DRIFT, MAX_TRANSIT_MS, Worker
@@ -111,6 +112,7 @@
         fleet: Fleet,
         jobs: JobTable,
         admission: Admission,
+        refusals: Refusals,
         admit: Admit,
         finish: Finish,
         listening_since_ms: float,
@@ -123,6 +125,7 @@
             fleet: the workers.
             jobs: all open jobs, kept or not.
             admission: expected durations and objectives of jobs.
+            refusals: the refusals that this holder has sent.
             admit: returns whether a new job is admitted; refuses it if not.
             finish: ends an open job with a verdict, a reason and the time
                 after which to retry, in ms.
@@ -134,6 +137,7 @@
         self._fleet = fleet
         self._jobs = jobs
         self._admission = admission
+        self._refusals = refusals
         self._admit = admit
         self._finish = finish
         self._listening_since_ms = listening_since_ms
@@ -157,8 +161,11 @@
         """
         key = submit.job.key
         existing = self._jobs.by_key.get(key)
-        if existing and not existing.is_stored:
-            existing.entries.add(entry)
+        refusal = self._refusals.find(entry, submit)
+        if refusal:
+            self._send(entry, refusal)
+        elif existing and not existing.is_stored:
+            existing.add_entry(entry, submit.number)
         elif existing or key in self._outcomes:
             self._send(entry, JobEnded(key, Verdict.ACCEPTED, Reason.NONE, 0.0))
         elif self.store.is_loaded:
@@ -176,7 +183,7 @@
         is_slow = waited_ms > AUTHORITY_MS
         is_full = len(self._deferred_submits) >= MAX_OPEN_JOBS
         if (is_slow or is_full) and not submit.was_sent:
-            self._refuse(entry, submit.job.key, Reason.NOT_STORED)
+            self._refuse(entry, submit, Reason.NOT_STORED)
         elif not is_full:
             self._deferred_submits.append((entry, submit))
 
@@ -184,20 +191,25 @@
         """Opens an admitted job and writes its acceptance; else refuses it."""
         job = submit.job
         if not self.store.has_authority:
-            self._refuse(entry, job.key, Reason.NOT_STORED)
+            self._refuse(entry, submit, Reason.NOT_STORED)
             return
         if len(self._jobs.by_key) >= MAX_OPEN_JOBS:
-            self._refuse(entry, job.key, Reason.TOO_MANY)
+            self._refuse(entry, submit, Reason.TOO_MANY)
             return
         arrived_ms = self._clock.now_ms() - submit.age_ms
-        open_job = OpenJob(job, entry, arrived_ms, 1)
+        open_job = OpenJob(job, arrived_ms, 1)
+        open_job.add_entry(entry, submit.number)
         open_job.is_placeable = False
         self._jobs.add(open_job)
         if self._admit(open_job):
             self.store.write(JobChangeRecord(AcceptJob(job)))
 
-    def _refuse(self, entry: str, key: str, reason: Reason) -> None:
-        self._send(entry, JobEnded(key, Verdict.REFUSED, reason, RETRY_MS))
+    def _refuse(self, entry: str, submit: SubmitJob, reason: Reason) -> None:
+        refusal = JobEnded(
+            submit.job.key, Verdict.REFUSED, reason, RETRY_MS, submit.number
+        )
+        self._refusals.add(entry, refusal)
+        self._send(entry, refusal)
 
     def on_cancel(self, entry: str, cancel: CancelJob) -> None:
         """Handles a request to cancel a job that is kept or not known.
@@ -411,10 +423,7 @@
     def _restore_job(self, kept_job: KeptJob, now_ms: float) -> None:
         """Opens a loaded job with the progress of its tasks."""
         first_run = 1 + self.store.epoch * RUNS_PER_EPOCH
-        open_job = OpenJob(
-            kept_job.job, "", now_ms - kept_job.age_ms, first_run
-        )
-        open_job.entries.clear()
+        open_job = OpenJob(kept_job.job, now_ms - kept_job.age_ms, first_run)
         open_job.is_stored = True
         open_job.is_placeable = False
         for stage, indices in enumerate(kept_job.done):
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -249,7 +249,8 @@
 
     Attributes:
         job: the job as submitted.
-        entries: the entry nodes that wait for its end.
+        entries: the entry nodes that wait for its end, with the number of the
+            latest submission of each.
         arrived_ms: time when it arrived at its first entry node.
         first_run: number of the first run of each task.
         due_iterations: number of iterations that have come due.
@@ -291,17 +292,16 @@
         "unstored_ends",
     )
 
-    def __init__(self, job: Job, entry: str, arrived_ms: float, first_run: int):
+    def __init__(self, job: Job, arrived_ms: float, first_run: int):
         """Opens a job of which nothing was started.
 
         Args:
             job: the job.
-            entry: the entry node that submitted it.
             arrived_ms: time when it arrived at its first entry node.
             first_run: number of the first run of each task.
         """
         self.job = job
-        self.entries = {entry}
+        self.entries: dict[str, int] = {}
         self.arrived_ms = arrived_ms
         self.first_run = first_run
         self.late_at_ms = math.inf
@@ -341,6 +341,15 @@
         """Time when the caller stops waiting."""
         return self.arrived_ms + self.job.timeout_ms
 
+    def add_entry(self, entry: str, number: int) -> None:
+        """Adds an entry node that waits for the end of the job.
+
+        Args:
+            entry: the entry node.
+            number: number of its submission.
+        """
+        self.entries[entry] = max(number, self.entries.get(entry, 0))
+
     def note_run(self, step: int, took_ms: float) -> None:
         """Records the duration of a successful run.
 
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -130,6 +130,7 @@
         self._partitioned: set[str] = set()
         self._isolated: set[str] = set()
         self._refusing: set[str] = set()
+        self._message_delays_ms: dict[str, float] = {}
         self._keys_by_request: dict[int, str] = {}
         self._request_count = 0
         self._epoch = 0
@@ -340,6 +341,23 @@
         """Makes a worker refuse every connection; what runs there goes on."""
         self._refusing.add(worker)
 
+    def delay_messages(self, node: str, delay_ms: float) -> None:
+        """Delays what an entry node sends to other entry nodes from now on.
+
+        Later messages overtake earlier ones that have a longer delay, as they
+        may do on another connection.
+        """
+        self._message_delays_ms[node] = delay_ms
+
+    def reconnect(self, node: str, other: str) -> None:
+        """Breaks an entry node's connection to another and opens a new one.
+
+        What was sent on the former connection still arrives.
+        """
+        self.entries[node].on_disconnected(other)
+        self.entries[node].on_connected(_entry_greeting(self.entries[other]))
+        self._run_actions(node)
+
     def kill(self, node: str) -> None:
         """Ends the process of an entry node."""
         self._dead.add(node)
@@ -416,7 +434,13 @@
             hall in self._partitioned or other in self._partitioned
         )
 
-    def _deliver(self, node: str, source: str, message: Message) -> None:
+    def _deliver(
+        self,
+        node: str,
+        source: str,
+        message: Message,
+        delay_ms: float = DELAY_MS,
+    ) -> None:
         """Delivers a message to an entry node after the delay."""
 
         def arrive() -> None:
@@ -424,7 +448,7 @@
                 self.entries[node].on_message(source, message)
                 self._run_actions(node)
 
-        self.call_later(DELAY_MS, arrive)
+        self.call_later(delay_ms, arrive)
 
     def _run_actions(self, node: str) -> None:
         entry = self.entries[node]
@@ -481,7 +505,8 @@
             return
         receiver = self.entries.get(to)
         if receiver and not self._is_partitioned(entry.hall, receiver.hall):
-            self._deliver(to, entry.node, message)
+            delay_ms = self._message_delays_ms.get(entry.node, DELAY_MS)
+            self._deliver(to, entry.node, message, delay_ms)
 
     def _find_reachable(self, entry: EntryNode, name: str) -> FakeWorker | None:
         """Returns a worker, or None if the node cannot reach it."""
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -126,12 +126,16 @@
         age_ms: time since its arrival at the entry node, in ms.
         epoch: epoch of the latest grant that the sender received.
         was_sent: whether an earlier holder may have started it.
+        number: the sender's number of the submission. It is the same when the
+            job is sent to the same holder again under the same grant, and
+            rises otherwise.
     """
 
     job: Job
     age_ms: float
     epoch: int
     was_sent: bool = False
+    number: int = 0
 
 
 class CancelJob(Message, frozen=True, tag=True):
@@ -204,12 +208,14 @@
         reason: the reason for which it was refused or abandoned.
         retry_after_ms: time after which to retry, in ms; 0 if a retry does not
             help.
+        number: number of the submission that it answers; 0 for any.
     """
 
     key: str
     verdict: Verdict
     reason: Reason
     retry_after_ms: float
+    number: int = 0
 
 
 ANY_CLUSTER_MESSAGE = (
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -121,6 +121,29 @@
     assert site.runs == []
 
 
+@pytest.mark.parametrize("delays_ms", [(1, 3000), (3000, 1), (1, 2)])
+def test_refused_job_is_not_accepted_after_its_entry_node_reconnected(
+    delays_ms,
+):
+    site = make_granted_site()
+    site.leader.is_unresponsive = True
+    site.run(2000)
+    site.delay_messages("c-1/1", delays_ms[0])
+    site.submit("c-1/1", "job", is_kept=True)
+    site.delay_messages("c-1/1", delays_ms[1])
+    site.reconnect("c-1/1", HOLDER)
+    site.delay_messages("c-1/1", 1)
+    site.run(1000)
+    assert _verdicts(site) == {"job": Verdict.REFUSED}
+    site.leader.is_unresponsive = False
+    site.run(4000)
+    assert site.runs == []
+    site.submit("c-1/1", "job", is_kept=True)
+    site.run(1000)
+    assert _verdicts(site) == {"job": Verdict.ACCEPTED}
+    assert len(site.runs) == 2
+
+
 def test_unsent_job_is_refused_when_authority_is_lost():
     site = make_granted_site()
     site.leader.is_unresponsive = True
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -55,6 +55,80 @@
     assert not [run for run in site.runs if run.task_id.job == "job-2"]
 
 
+def _site_with_refused_job(node="c-1/1", **delays_ms):
+    """Returns a site that is about to refuse the job "late" of a node.
+
+    Args:
+        node: the entry node that gets the job.
+        delays_ms: for the "first" and the "second" copy of the job that the
+            node sends, how long it takes; no second one is sent by default.
+    """
+    site = _site(workers=1)
+    for number in range(2):
+        site.submit("a-0/1", f"job-{number}", count=6)
+    site.delay_messages(node, delays_ms.get("first", 1))
+    site.submit(node, "late", count=6)
+    if "second" in delays_ms:
+        site.delay_messages(node, delays_ms["second"])
+        site.reconnect(node, HOLDER)
+    site.delay_messages(node, 1)
+    return site
+
+
+def _runs_of(site, job):
+    return [run for run in site.runs if run.task_id.job == job]
+
+
+@pytest.mark.parametrize(
+    ("first_ms", "second_ms"),
+    [(1, 2), (1, 30), (1, 1000), (2, 1), (30, 1), (100, 1), (1000, 1)],
+)
+def test_refused_job_never_runs_after_its_entry_node_reconnected(
+    first_ms, second_ms
+):
+    site = _site_with_refused_job(first=first_ms, second=second_ms)
+    site.run(3000)
+    is_refused = _verdicts(site)["late"] is Verdict.REFUSED
+    assert is_refused == (not _runs_of(site, "late"))
+    assert is_refused or first_ms > second_ms
+
+
+@pytest.mark.parametrize("node", ["a-0/1", "b-1/1", "c-1/1"])
+def test_job_submitted_again_after_its_refusal_runs(node):
+    site = _site_with_refused_job(first=1, second=2)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.REFUSED
+    site.submit(node, "late", count=6)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.COMPLETED
+
+
+@pytest.mark.parametrize("offset_ms", [1, 5, 20])
+def test_late_copy_of_a_refused_job_does_not_refuse_its_next_submission(
+    offset_ms,
+):
+    site = _site_with_refused_job(first=1, second=200 + offset_ms)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.REFUSED
+    site.submit("c-1/1", "late", count=6)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.COMPLETED
+    assert len(_runs_of(site, "late")) == 6
+
+
+def test_refusal_by_a_holder_that_was_replaced_in_between_is_ignored():
+    site = _site_with_refused_job()
+    site.delay_messages(HOLDER, 30)
+    site.run(5)
+    site.delay_messages(HOLDER, 1)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(5)
+    site.grant(HOLDER, STANDBYS)
+    site.run(3000)
+    is_refused = _verdicts(site)["late"] is Verdict.REFUSED
+    assert is_refused == (not _runs_of(site, "late"))
+
+
 def test_job_submitted_at_two_entry_nodes_runs_once():
     site = _site()
     site.submit("a-1/1", "job")
