Refuse no job that another scheduler may have started

Cause: a job that was sent to a former holder waits until all known workers were polled. If none of them lists a run, it counted as not started: the review of waiting jobs could refuse it as too late, and its timeout ended it as refused. The run may go on at a worker that the new holder does not know, or may have ended. The same happened to a job that one entry node had sent to a former holder when another node's copy of it arrived first.

Change: an open job records whether another scheduler may have started it. Such a job is not refused, and at its timeout it is abandoned. It runs late instead of being refused when the workers are busy.

Evidence: the three new tests play a holder without the workers of a hall; one has a second entry node, one the timeout. Each fails if its part of the change is taken out.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -152,7 +152,7 @@
             return
         existing = self._jobs.by_key.get(key)
         if existing:
-            existing.add_entry(entry, submit.number)
+            self._add_entry(existing, entry, submit)
             return
         if key in self._results:
             ended = self._results[key][1]
@@ -168,6 +168,7 @@
         open_job.add_entry(entry, submit.number)
         self._jobs.add(open_job)
         if submit.was_sent:
+            open_job.was_sent_elsewhere = True
             open_job.late_at_ms = self._admission.late_at_ms(open_job)
             self._unresolved[key] = (self._clock.now_ms(), open_job)
             self._must_poll = True
@@ -176,6 +177,15 @@
             return
         self._jobs.enqueue(open_job)
 
+    def _add_entry(
+        self, open_job: OpenJob, entry: str, submit: SubmitJob
+    ) -> None:
+        """Adds an entry node that waits for a job that is open."""
+        is_copy = open_job.entries.get(entry) == submit.number
+        if submit.was_sent and not is_copy:
+            open_job.was_sent_elsewhere = True
+        open_job.add_entry(entry, submit.number)
+
     def _on_submit_kept(self, entry: str, submit: SubmitJob) -> None:
         """Passes on a kept job, or refuses it on a standby."""
         if self.kept_jobs:
@@ -506,10 +516,9 @@
 
     def _abort(self, open_job: OpenJob, reason: Reason) -> None:
         """Ends a job: refused if surely no task was started, else abandoned."""
-        is_unstarted = not open_job.is_started and open_job.job.key not in (
-            self._unresolved
-        )
-        verdict = Verdict.REFUSED if is_unstarted else Verdict.ABANDONED
+        verdict = Verdict.ABANDONED
+        if open_job.is_surely_unstarted:
+            verdict = Verdict.REFUSED
         self._finish(open_job, verdict, reason, MIN_RETRY_MS)
 
     def _finish(
--- a/packages/pool/src/clayfield/pool/intake.py
+++ b/packages/pool/src/clayfield/pool/intake.py
@@ -1,8 +1,8 @@
 """Admission decisions: which jobs the holder accepts and which it refuses.
 
 A job may be refused early in its life at no cost, since its caller still has
-time to try elsewhere. Later, or once a task of it was started, it runs on even
-if it will end late.
+time to try elsewhere. Later, or once a task of it may have been started, here
+or by another scheduler, it runs on even if it will end late.
 """
 
 from collections.abc import Callable
@@ -28,7 +28,7 @@
 
 
 class Intake:
-    """Admits or refuses new jobs, and reviews those with no task started."""
+    """Admits or refuses new jobs, and reviews those surely not started."""
 
     def __init__(
         self,
@@ -131,7 +131,7 @@
         Adds the job to the forecast.
 
         Args:
-            open_job: a job with no task started.
+            open_job: a job of which surely no task was started.
             forecast: the slots, with the work that goes before the job.
             now_ms: the current time, in ms.
 
@@ -159,8 +159,11 @@
         if not forecast.has_slots:
             return
         for open_job in self._jobs.on_time_jobs():
-            is_committed = open_job.is_started or open_job.job.is_kept
-            if is_committed or not open_job.is_placeable:
-                self._admission.add_to_forecast(forecast, open_job, now_ms)
-            else:
+            if (
+                open_job.is_surely_unstarted
+                and open_job.is_placeable
+                and not open_job.job.is_kept
+            ):
                 self._is_refused(open_job, forecast, now_ms)
+            else:
+                self._admission.add_to_forecast(forecast, open_job, now_ms)
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -258,6 +258,8 @@
         late_at_ms: time after which the job cannot end in time any more.
         is_late: whether that time has come; late jobs go after all others.
         is_started: whether any task of the job was sent to a worker.
+        was_sent_elsewhere: whether another scheduler may have started a task of
+            it.
         is_placeable: whether tasks of the job may be started yet.
         is_stored: whether the job is a kept job in stable storage.
         pending_state: how a kept job will have ended once that is stored, None
@@ -286,6 +288,7 @@
         "longest_runs_ms",
         "pending_state",
         "used_workers",
+        "was_sent_elsewhere",
         "due_iterations",
         "start_count",
         "tasks",
@@ -307,6 +310,7 @@
         self.late_at_ms = math.inf
         self.is_late = False
         self.is_started = False
+        self.was_sent_elsewhere = False
         self.is_placeable = True
         self.is_stored = False
         self.pending_state: JobState | None = None
@@ -331,6 +335,11 @@
         """Whether the job has tasks that run until it is cancelled."""
         return any(step.is_long_running for step in self.job.steps)
 
+    @property
+    def is_surely_unstarted(self) -> bool:
+        """Whether certainly no task of the job was ever started."""
+        return not self.is_started and not self.was_sent_elsewhere
+
     @property
     def sort_key(self) -> tuple[int, float]:
         """Sort key among the jobs that are not late; lower goes first."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -129,6 +129,52 @@
     assert is_refused == (not _runs_of(site, "late"))
 
 
+def _site_with_job_started_by_a_former_holder():
+    """Returns a busy site whose new holder lacks the workers of a hall.
+
+    The former holder has started "job" of a-1/2 on one of them.
+    """
+    site = _site(workers=1)
+    site.restart("a-1/2", "a", {"a", "b"})
+    site.restart("b-0/2", "b", {"a", "b"})
+    site.grant("c-0/1", {"a": "a-1/2", "b": "b-0/2"})
+    site.run(300)
+    for worker in site.workers.values():
+        worker.task_ms = 900.0
+    template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
+    site.submit("a-1/2", "other", count=4, template=template)
+    template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=400.0)
+    site.submit("a-1/2", "job", template=template)
+    site.run(20)
+    assert _runs_of(site, "job")
+    site.grant("b-0/2", {"a": "a-1/2", "c": "c-0/1"})
+    return site, template
+
+
+def test_job_started_by_a_former_holder_is_not_refused():
+    site, _ = _site_with_job_started_by_a_former_holder()
+    site.run(4000)
+    assert _verdicts(site)["job"] is not Verdict.REFUSED
+
+
+def test_job_started_by_a_former_holder_is_not_refused_when_submitted_again():
+    site, template = _site_with_job_started_by_a_former_holder()
+    # The copy that is submitted again arrives first.
+    site.delay_messages("a-1/2", 3)
+    site.run(1)
+    site.submit("b-0/2", "job", template=template)
+    site.run(4000)
+    assert _verdicts(site)["job"] is not Verdict.REFUSED
+
+
+def test_job_started_by_a_former_holder_is_not_refused_when_it_times_out():
+    site, _ = _site_with_job_started_by_a_former_holder()
+    for name in ("worker-a-0", "worker-b-0"):
+        site.drain_worker(name)
+    site.run(6000)
+    assert _verdicts(site)["job"] is Verdict.ABANDONED
+
+
 def test_job_submitted_at_two_entry_nodes_runs_once():
     site = _site()
     site.submit("a-1/1", "job")
