--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -249,7 +249,8 @@
 
     Attributes:
         job: the job as submitted.
-        entries: the entry nodes that wait for its end.
+        entries: the entry nodes that wait for its end, with the number of the
+            latest submission of each.
         arrived_ms: time when it arrived at its first entry node.
         first_run: number of the first run of each task.
         due_iterations: number of iterations that have come due.
@@ -257,6 +258,8 @@
         late_at_ms: time after which the job cannot end in time any more.
         is_late: whether that time has come; late jobs go after all others.
         is_started: whether any task of the job was sent to a worker.
+        was_sent_elsewhere: whether another scheduler may have started a task of
+            it.
         is_placeable: whether tasks of the job may be started yet.
         is_stored: whether the job is a kept job in stable storage.
         pending_state: how a kept job will have ended once that is stored, None
@@ -285,28 +288,29 @@
         "longest_runs_ms",
         "pending_state",
         "used_workers",
+        "was_sent_elsewhere",
         "due_iterations",
         "start_count",
         "tasks",
         "unstored_ends",
     )
 
-    def __init__(self, job: Job, entry: str, arrived_ms: float, first_run: int):
+    def __init__(self, job: Job, arrived_ms: float, first_run: int):
         """Opens a job of which nothing was started.
 
         Args:
             job: the job.
-            entry: the entry node that submitted it.
             arrived_ms: time when it arrived at its first entry node.
             first_run: number of the first run of each task.
         """
         self.job = job
-        self.entries = {entry}
+        self.entries: dict[str, int] = {}
         self.arrived_ms = arrived_ms
         self.first_run = first_run
         self.late_at_ms = math.inf
         self.is_late = False
         self.is_started = False
+        self.was_sent_elsewhere = False
         self.is_placeable = True
         self.is_stored = False
         self.pending_state: JobState | None = None
@@ -331,6 +335,11 @@
         """Whether the job has tasks that run until it is cancelled."""
         return any(step.is_long_running for step in self.job.steps)
 
+    @property
+    def is_surely_unstarted(self) -> bool:
+        """Whether certainly no task of the job was ever started."""
+        return not self.is_started and not self.was_sent_elsewhere
+
     @property
     def sort_key(self) -> tuple[int, float]:
         """Sort key among the jobs that are not late; lower goes first."""
@@ -341,6 +350,15 @@
         """Time when the caller stops waiting."""
         return self.arrived_ms + self.job.timeout_ms
 
+    def add_entry(self, entry: str, number: int) -> None:
+        """Adds an entry node that waits for the end of the job.
+
+        Args:
+            entry: the entry node.
+            number: number of its submission.
+        """
+        self.entries[entry] = max(number, self.entries.get(entry, 0))
+
     def note_run(self, step: int, took_ms: float) -> None:
         """Records the duration of a successful run.
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -65,6 +65,126 @@
     assert not [run for run in site.runs if run.task_id.job == "job-2"]
 
 
+def _site_with_refused_job(node="c-1/1", **delays_ms):
+    """Returns a site that is about to refuse the job "late" of a node.
+
+    Args:
+        node: the entry node that gets the job.
+        delays_ms: for the "first" and the "second" copy of the job that the
+            node sends, how long it takes; no second one is sent by default.
+    """
+    site = _site(workers=1)
+    for number in range(2):
+        site.submit("a-0/1", f"job-{number}", count=6)
+    site.delay_messages(node, delays_ms.get("first", 1))
+    site.submit(node, "late", count=6)
+    if "second" in delays_ms:
+        site.delay_messages(node, delays_ms["second"])
+        site.reconnect(node, HOLDER)
+    site.delay_messages(node, 1)
+    return site
+
+
+def _runs_of(site, job):
+    return [run for run in site.runs if run.task_id.job == job]
+
+
+@pytest.mark.parametrize(
+    ("first_ms", "second_ms"),
+    [(1, 2), (1, 30), (1, 1000), (2, 1), (30, 1), (100, 1), (1000, 1)],
+)
+def test_refused_job_never_runs_after_its_entry_node_reconnected(
+    first_ms, second_ms
+):
+    site = _site_with_refused_job(first=first_ms, second=second_ms)
+    site.run(3000)
+    is_refused = _verdicts(site)["late"] is Verdict.REFUSED
+    assert is_refused == (not _runs_of(site, "late"))
+    assert is_refused or first_ms > second_ms
+
+
+@pytest.mark.parametrize("node", ["a-0/1", "b-1/1", "c-1/1"])
+def test_job_submitted_again_after_its_refusal_runs(node):
+    site = _site_with_refused_job(first=1, second=2)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.REFUSED
+    site.submit(node, "late", count=6)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.COMPLETED
+
+
+@pytest.mark.parametrize("offset_ms", [1, 5, 20])
+def test_late_copy_of_a_refused_job_does_not_refuse_its_next_submission(
+    offset_ms,
+):
+    site = _site_with_refused_job(first=1, second=200 + offset_ms)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.REFUSED
+    site.submit("c-1/1", "late", count=6)
+    site.run(200)
+    assert _verdicts(site)["late"] is Verdict.COMPLETED
+    assert len(_runs_of(site, "late")) == 6
+
+
+def test_refusal_by_a_holder_that_was_replaced_in_between_is_ignored():
+    site = _site_with_refused_job()
+    site.delay_messages(HOLDER, 30)
+    site.run(5)
+    site.delay_messages(HOLDER, 1)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(5)
+    site.grant(HOLDER, STANDBYS)
+    site.run(3000)
+    is_refused = _verdicts(site)["late"] is Verdict.REFUSED
+    assert is_refused == (not _runs_of(site, "late"))
+
+
+def _site_with_job_started_by_a_former_holder():
+    """Returns a busy site whose new holder lacks the workers of a hall.
+
+    The former holder has started "job" of a-1/2 on one of them.
+    """
+    site = _site(workers=1)
+    site.restart("a-1/2", "a", {"a", "b"})
+    site.restart("b-0/2", "b", {"a", "b"})
+    site.grant("c-0/1", {"a": "a-1/2", "b": "b-0/2"})
+    site.run(300)
+    for worker in site.workers.values():
+        worker.task_ms = 900.0
+    template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
+    site.submit("a-1/2", "other", count=4, template=template)
+    template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=400.0)
+    site.submit("a-1/2", "job", template=template)
+    site.run(20)
+    assert _runs_of(site, "job")
+    site.grant("b-0/2", {"a": "a-1/2", "c": "c-0/1"})
+    return site, template
+
+
+def test_job_started_by_a_former_holder_is_not_refused():
+    site, _ = _site_with_job_started_by_a_former_holder()
+    site.run(4000)
+    assert _verdicts(site)["job"] is not Verdict.REFUSED
+
+
+def test_job_started_by_a_former_holder_is_not_refused_when_submitted_again():
+    site, template = _site_with_job_started_by_a_former_holder()
+    # The copy that is submitted again arrives first.
+    site.delay_messages("a-1/2", 3)
+    site.run(1)
+    site.submit("b-0/2", "job", template=template)
+    site.run(4000)
+    assert _verdicts(site)["job"] is not Verdict.REFUSED
+
+
+def test_job_started_by_a_former_holder_is_not_refused_when_it_times_out():
+    site, _ = _site_with_job_started_by_a_former_holder()
+    for name in ("worker-a-0", "worker-b-0"):
+        site.drain_worker(name)
+    site.run(6000)
+    assert _verdicts(site)["job"] is Verdict.ABANDONED
+
+
 def test_job_submitted_at_two_entry_nodes_runs_once():
     site = _site()
     site.submit("a-1/1", "job")
