Count a worker as known only by a poll with the present fencing token

Cause: a poll counted by the time when it was sent. One that was made under the former token and sent after the new grant, in the same turn of the event loop, or one of an earlier dispatcher of the same node whose reply came late, made its worker count as known, though it still accepted the starts of the node before.

Change: a reply counts if the poll had the token that the fleet has now.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -501,14 +501,16 @@
             return
         self._record_reply(worker, reply.clock_ms)
         self._on_reachable(worker)
-        self._on_fence_accepted(worker, poll_id // CALLS_PER_FENCE, now_ms)
+        fence = poll_id // CALLS_PER_FENCE
+        self._on_fence_accepted(worker, fence, now_ms)
         for row in reply.ended:
             self._on_ended(worker, row)
         self._on_running(worker, reply.running, sent_ms)
         worker.next_poll_ms = now_ms + self._schedule.pause_ms(worker)
         self._throttle(worker, now_ms)
-        worker.is_synced = True
-        worker.synced_ms = max(worker.synced_ms, sent_ms)
+        if fence == self.fence:
+            worker.is_synced = True
+            worker.synced_ms = max(worker.synced_ms, sent_ms)
         self.poll_if_due(worker)
 
     def _on_fence_accepted(
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -8,7 +8,17 @@
 import pytest
 
 from clayfield.base import ManualClock
-from clayfield.pool import EntryNode, PoolTiming, SendToNode
+from clayfield.pool import (
+    CommandResult,
+    EntryNode,
+    PollReply,
+    PollWorker,
+    PoolTiming,
+    SendToNode,
+    StopRun,
+    TaskId,
+)
+from clayfield.pool.role import standby_fence
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HALLS,
@@ -716,3 +726,44 @@
     site.run(200)
     assert site.reported_states == {"job": JobState.COMPLETED}
     assert site.find_violations() == []
+
+
+def test_poll_with_the_former_fencing_token_does_not_sync_its_worker():
+    site = _site()
+    holder = site.entries[HOLDER]
+    fleet = holder.dispatcher.fleet
+    since_ms = site.clock.now_ms()
+    # The actions of one turn of the event loop run at its end.
+    fleet.poll_all()
+    holder.on_message("control", Grant(2, HOLDER, STANDBYS))
+    polls = [a for a in holder.take_actions() if isinstance(a, PollWorker)]
+    site.run(1)
+    sent_ms = site.clock.now_ms()
+    for poll in polls:
+        site.workers[poll.worker].poll(
+            poll,
+            lambda reply, poll=poll: holder.on_poll_reply(
+                poll.worker, poll.poll_id, sent_ms, reply
+            ),
+        )
+    stop = StopRun("", "", TaskId("job", 0, 0), 1, standby_fence(1))
+    results = {worker.stop(stop) for worker in site.workers.values()}
+    is_fenced = results == {CommandResult.FENCED}
+    assert is_fenced or not fleet.is_synced_since(since_ms)
+
+
+def test_reply_to_a_poll_of_an_earlier_dispatcher_does_not_sync_its_worker():
+    site = _site()
+    holder = site.entries[HOLDER]
+    sent_ms = site.clock.now_ms()
+    polls = {
+        worker.name: worker.open_poll
+        for worker in holder.dispatcher.fleet.workers.values()
+    }
+    holder.on_message("control", Grant(2, "b-0/1", {}))
+    holder.on_message("control", Grant(3, HOLDER, STANDBYS))
+    for name, poll_id in polls.items():
+        reply = PollReply(CommandResult.DONE, sent_ms)
+        holder.on_poll_reply(name, poll_id, sent_ms, reply)
+    fleet = holder.dispatcher.fleet
+    assert not any(worker.is_synced for worker in fleet.workers.values())
