Count a lease for a run that another node started

What was seen: on the manual clock, a holder gave up a run that a hall's standby had started (RUN_LOST, lease-lapsed) 99 to 399 ms before the run ended. No caller saw it: the job of such a run comes only after the next grant, and by then the worker has accepted a poll with the new fencing token, which counts a lease.

Cause: a long poll that a worker accepted before a short partition may be answered after the hall's standby has started a run there. The reply lists the run, but it belongs to a fencing token that the worker had accepted before, so no lease was counted. If a later poll gets no reply, the lease was reckoned from what the holder itself had sent.

Change: `Fleet._add_inherited` counts a lease from the time of the reply, since the node that started the run may have renewed the lease until then.

Evidence: the new test failed on all 6 rows before and passes now.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -643,15 +643,18 @@
     def _add_inherited(self, worker: Worker, row: RunningRun) -> None:
         """Adds a run that an earlier holder started.
 
-        Its resource usage is unknown, so nothing is placed beside it.
+        Its resource usage is unknown, so nothing is placed beside it. The node
+        that started it may have renewed the worker's lease until now.
         """
+        now_ms = self._clock.now_ms()
+        worker.on_lease_renewed(now_ms, self.timing.lease_ms)
         run = Run(
             row.task_id,
             row.number,
             worker.name,
             None,
             RunState.RUNNING,
-            self._clock.now_ms(),
+            now_ms,
         )
         run.confirmed_ms = run.commanded_ms
         run.checkpoint = row.checkpoint
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -346,3 +346,31 @@
         assert seen <= reachable
         seen |= reachable
     assert len(seen) == 6
+
+
+def _find_run(site, job):
+    return next((run for run in site.runs if run.task_id.job == job), None)
+
+
+@pytest.mark.parametrize("offset_ms", range(150, 401, 50))
+def test_run_listed_by_a_poll_from_before_a_short_partition_is_not_given_up(
+    offset_ms,
+):
+    # Polls of that many idle workers are long enough to span the partition.
+    site = make_granted_site(workers=20, settle_ms=1500 + offset_ms)
+    for worker in site.workers.values():
+        worker.task_ms = 2000.0
+    site.partition("b")
+    site.submit("a-1/1", "started-into-the-partition", count=120)
+    site.run(300)
+    site.submit("b-1/1", "job", count=1)
+    while not (run := _find_run(site, "job")):
+        site.run(1)
+    site.heal("b")
+    listed = site.entries[HOLDER].dispatcher.fleet.workers[run.worker].runs
+    while run.task_id not in listed:
+        site.run(1)
+    site.refuse_connections(run.worker)
+    while run.end_ms is None:
+        assert run.task_id in listed
+        site.run(1)
