Withhold a lease as soon as an end is left to the holder

What callers would see: a task of a kept job starts again after its end `done` was noted, if its hall was partitioned and rejoins before a lease that the standby renewed has lapsed.

Cause: `Fleet.defer_end_to_holder` only noted the time of the end, and the lease was withheld from the next tick on. A start or poll by the standby within these 20 ms renewed it, while the holder started the task again elsewhere.

Change: `Worker.on_end_deferred` withholds the lease at once.

Evidence: the new test failed on all 3 rows before and passes now.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -681,7 +681,7 @@
         """
         worker.hold_ack(row.sequence)
         if self.has_kept_jobs:
-            worker.deferred_end_ms = self._clock.now_ms()
+            worker.on_end_deferred(self._clock.now_ms())
 
     def claim_inherited_run(self, task: Task, work_ms: float) -> bool:
         """Assigns an inherited run to its task.
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -229,6 +229,18 @@
         ends_ms = now_ms + lease_ms * (1 + MAX_CLOCK_DRIFT) + MAX_TRANSIT_MS
         self.lease_ends_ms = max(self.lease_ends_ms, ends_ms)
 
+    def on_end_deferred(self, now_ms: float) -> None:
+        """Withholds the lease because of an end that is left to the holder.
+
+        Takes effect at once, so that no start or poll renews the lease before
+        the next update.
+
+        Args:
+            now_ms: the current time.
+        """
+        self.deferred_end_ms = now_ms
+        self.is_lease_withheld = True
+
     def update_lease_withholding(self, since_ms: float, now_ms: float) -> None:
         """Withholds the lease until it has lapsed once after a time.
 
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -536,3 +536,25 @@
     assert expired == ("job-0", "job-1", "job-2")
     job_store.delete_ended(expired[:2])
     assert set(job_store.ended_states()) == {"job-2", "job-3"}
+
+
+@pytest.mark.parametrize("partition_ms", [1220, 1230, 1240])
+def test_standby_start_does_not_renew_the_lease_beside_an_end_of_a_kept_job(
+    partition_ms,
+):
+    site = make_granted_site(settle_ms=200)
+    site.submit("a-0/1", "earlier", count=1, is_kept=True)
+    site.run(1000)
+    site.submit("a-0/1", "job", count=12, is_kept=True)
+    site.run(70)
+    site.partition("b")
+    # The standby's first polls are answered, and its next tick is to come.
+    poll_ms = 314
+    site.run(poll_ms)
+    site.submit("b-1/1", "other", count=4, template=_step(600.0))
+    site.run(partition_ms - poll_ms)
+    site.heal("b")
+    site.run(60)
+    site.grant(HOLDER, STANDBYS)
+    site.run(4000)
+    assert site.find_restarts_after_end() == []
