Report the first kept job to standbys before its tasks start

What callers would see: a task of the first kept job starts again after its end `done` was noted, if its hall is partitioned within 200 ms of the submission or soon after its standby has started.

Cause: a standby lets a worker's lease lapse beside an end that it leaves to the holder only where kept jobs are in use. It learned that from the holder's report every 200 ms, and without one it took them as unused. `Fleet.has_kept_jobs` was also fixed when the standby's dispatcher was created.

Change: the holder reports the first kept job at once; its tasks start only after a round trip to the job store. `QueueCounts` is also sent while no kept jobs are in use and says so in a new last field, whose default is the former meaning. A standby skips the lapse only if the current holder has reported so over the present connection. `KeptJobs.is_in_use` replaces `has_recent_jobs`, which went through all open jobs.

During an upgrade, a standby whose holder has the older version takes kept jobs as in use, and so does one of the older version whose holder has this one.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -78,6 +78,8 @@
         self._workers: dict[str, WorkerInfo] = {}
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
+        # The last node that reported, as the holder, no use of kept jobs.
+        self._unused_at = ""
         self._early_submits: list[tuple[float, str, SubmitJob]] = []
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
@@ -188,6 +190,9 @@
     def on_connected(self, greeting: NodeGreeting) -> None:
         """Handles a new connection to a node."""
         self._open_nodes[greeting.node] = greeting
+        if greeting.node == self._unused_at:
+            # A report may have been lost with the former connection.
+            self._unused_at = ""
         self._role.update_reachability(self._open_nodes.values())
         if greeting.node == self.holder:
             self.callers.forward_all()
@@ -219,9 +224,8 @@
                 self.callers.on_cancel_reply(message)
             case JobStateReply():
                 self.callers.on_state_reply(message)
-            case QueueCounts(waiting=counts):
-                self._kept_counts = counts
-                self._has_kept_jobs = True
+            case QueueCounts():
+                self._on_counts(node, message)
             case (
                 JobStateRequest() | HolderLease() | JobsLoaded() | JobsWritten()
             ):
@@ -334,7 +338,6 @@
             store,
             self._started_ms,
         )
-        self.dispatcher.fleet.has_kept_jobs = self._has_kept_jobs
         self._send_status()
         for info in self._workers.values():
             if self._is_scheduled_here(info):
@@ -370,6 +373,7 @@
         self._role.tick()
         self._update_dispatcher()
         if self.dispatcher:
+            self.dispatcher.fleet.may_have_kept_jobs = self._may_have_kept_jobs
             self.dispatcher.tick()
             self._announce_removed_workers(self.dispatcher)
         self.callers.tick()
@@ -399,17 +403,41 @@
         )
         self._broadcast(CONTROL_ROLE, status)
 
+    @property
+    def _may_have_kept_jobs(self) -> bool:
+        """Whether kept jobs may be in use, as far as this node knows."""
+        return self._has_kept_jobs or self._unused_at != self.grant.holder
+
+    def _on_counts(self, node: str, counts: QueueCounts) -> None:
+        """Handles the holder's report of the kept jobs."""
+        self._kept_counts = counts.waiting
+        if counts.has_kept_jobs:
+            self._has_kept_jobs = True
+        else:
+            self._unused_at = node
+
     def _send_counts(self) -> None:
         """Sends the numbers of waiting kept jobs to all entry nodes.
 
-        Only the holder does so, and only while kept jobs are in use.
+        Only the holder does so, once it has loaded the stored jobs.
         """
         kept_jobs = self.dispatcher.kept_jobs if self.dispatcher else None
-        if kept_jobs is None or not kept_jobs.has_recent_jobs:
+        if kept_jobs is None or not kept_jobs.store.is_loaded:
             return
         self._kept_counts = kept_jobs.waiting_counts()
-        self._has_kept_jobs = True
-        self._broadcast(ENTRY_ROLE, QueueCounts(self._kept_counts))
+        has_kept_jobs = self._has_kept_jobs or kept_jobs.is_in_use
+        self._has_kept_jobs = has_kept_jobs
+        self._broadcast(
+            ENTRY_ROLE, QueueCounts(self._kept_counts, has_kept_jobs)
+        )
+
+    def _announce_first_kept_job(self, kept_jobs: KeptJobs) -> None:
+        """Reports at once that kept jobs are in use, before any task starts.
+
+        A hall's standby must know it when the hall is partitioned.
+        """
+        if not self._has_kept_jobs and kept_jobs.is_in_use:
+            self._send_counts()
 
     def _broadcast(self, role: str, message: Message) -> None:
         """Sends a message to all connected nodes of a role."""
@@ -459,6 +487,8 @@
         """Places waiting tasks and returns the actions since the last call."""
         if self.dispatcher:
             self.dispatcher.place_tasks()
+            if self.dispatcher.kept_jobs:
+                self._announce_first_kept_job(self.dispatcher.kept_jobs)
             self._take_dispatcher_actions(self.dispatcher)
         actions = self._actions + self.callers.actions
         self._actions = []
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -118,7 +118,8 @@
         sole_holder_until_ms: time until which this node was certainly the only
             holder, so that no other node renewed a lease, in ms; 0 for a
             standby.
-        has_kept_jobs: whether kept jobs are in use, as reported to a standby.
+        may_have_kept_jobs: whether kept jobs may be in use, as far as a
+            standby knows.
     """
 
     def __init__(
@@ -134,7 +135,7 @@
         self._listener = listener
         self.fence = fence
         self.is_standby = is_standby
-        self.has_kept_jobs = False
+        self.may_have_kept_jobs = True
         self.sole_holder_until_ms = 0.0
         self.workers: dict[str, Worker] = {}
         self.actions: list[PoolAction] = []
@@ -671,8 +672,8 @@
     def defer_end_to_holder(self, row: EndedRun, worker: Worker) -> None:
         """Leaves the end of an inherited run to the holder.
 
-        The end is not acknowledged, so the worker goes on listing it. Where
-        kept jobs are in use, the holder may start the task elsewhere in the
+        The end is not acknowledged, so the worker goes on listing it. If kept
+        jobs may be in use, the holder may start the task elsewhere in the
         meantime, so the lease that it gave must lapse first.
 
         Args:
@@ -680,7 +681,7 @@
             worker: the worker that lists it.
         """
         worker.hold_ack(row.sequence)
-        if self.has_kept_jobs:
+        if self.may_have_kept_jobs:
             worker.on_end_deferred(self._clock.now_ms())
 
     def claim_inherited_run(self, task: Task, work_ms: float) -> bool:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -102,6 +102,7 @@
 
     Attributes:
         store: client of the job store.
+        is_in_use: whether any kept job was loaded or admitted.
     """
 
     def __init__(
@@ -130,6 +131,7 @@
                 heartbeats of workers, in ms.
         """
         self.store = store
+        self.is_in_use = False
         self._clock = clock
         self._fleet = fleet
         self._jobs = jobs
@@ -194,6 +196,7 @@
         open_job.is_placeable = False
         self._jobs.add(open_job)
         if self._admit(open_job):
+            self.is_in_use = True
             self.store.write(JobChangeRecord(AcceptJob(job)))
 
     def _refuse(self, entry: str, key: str, reason: Reason) -> None:
@@ -270,11 +273,6 @@
         """Whether a job that is not known here certainly does not exist."""
         return self.store.is_loaded and self.store.has_authority
 
-    @property
-    def has_recent_jobs(self) -> bool:
-        """Whether any kept job is open or ended recently."""
-        return bool(self._outcomes) or bool(self._jobs.kept_jobs())
-
     def waiting_counts(self) -> dict[str, int]:
         """Returns by queue the number of stored jobs with no task started."""
         counts: dict[str, int] = {}
@@ -399,6 +397,8 @@
             self._restore_job(kept_job, now_ms)
         for key, state in self.store.take_ended_jobs().items():
             self._outcomes[key] = (now_ms, state)
+        if kept_jobs or self._outcomes:
+            self.is_in_use = True
         emit(
             Event.JOBS_LOADED,
             epoch=self.store.epoch,
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -190,9 +190,12 @@
 
     Attributes:
         waiting: number of kept jobs that have not started, by queue.
+        has_kept_jobs: whether kept jobs are in use. The holder reports the
+            first one before it starts any of its tasks.
     """
 
     waiting: dict[str, int]
+    has_kept_jobs: bool = True
 
 
 class JobEnded(Message, frozen=True, tag=True):
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -558,3 +558,41 @@
     site.grant(HOLDER, STANDBYS)
     site.run(4000)
     assert site.find_restarts_after_end() == []
+
+
+@pytest.mark.parametrize("delay_ms", [20, 50, 100])
+def test_tasks_of_the_first_kept_job_do_not_restart_after_their_ends(
+    delay_ms,
+):
+    site = make_granted_site(settle_ms=260)
+    site.submit("a-0/1", "job", count=12, is_kept=True)
+    site.run(delay_ms)
+    # Before the holder's next periodic report of the kept jobs.
+    site.partition("b")
+    site.run(2500)
+    site.heal("b")
+    site.run(10)
+    site.grant(HOLDER, STANDBYS)
+    site.run(4000)
+    assert site.find_restarts_after_end() == []
+
+
+@pytest.mark.parametrize("delay_ms", [2, 20, 60])
+def test_tasks_do_not_restart_after_their_ends_if_the_standby_is_new(delay_ms):
+    site = make_granted_site(settle_ms=250)
+    site.submit("a-0/1", "earlier", count=1, is_kept=True)
+    site.run(1000)
+    site.kill("b-0/1")
+    site.submit("a-0/1", "job", count=12, is_kept=True)
+    site.run(70 - delay_ms)
+    site.restart("b-0/2", "b", {"b"})
+    standbys = {**STANDBYS, "b": "b-0/2"}
+    site.grant(HOLDER, standbys)
+    site.run(delay_ms)
+    site.partition("b")
+    site.run(2500)
+    site.heal("b")
+    site.run(10)
+    site.grant(HOLDER, standbys)
+    site.run(4000)
+    assert site.find_restarts_after_end() == []
