--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -118,9 +118,10 @@
         sole_holder_until_ms: time until which this node was certainly the only
             holder, so that no other node renewed a lease, in ms; 0 for a
             standby.
-        has_kept_jobs: whether kept jobs are in use, as reported to a standby.
         hall_connected_ms: time of the latest new connection to a node of a
             hall, by hall, in ms; without the halls that are not connected.
+        may_have_kept_jobs: whether kept jobs may be in use, as far as a
+            standby knows.
     """
 
     def __init__(
@@ -136,7 +137,7 @@
         self._listener = listener
         self.fence = fence
         self.is_standby = is_standby
-        self.has_kept_jobs = False
+        self.may_have_kept_jobs = True
         self.sole_holder_until_ms = 0.0
         self.hall_connected_ms: dict[str, float] = {}
         self.workers: dict[str, Worker] = {}
@@ -669,15 +670,18 @@
     def _add_inherited(self, worker: Worker, row: RunningRun) -> None:
         """Adds a run that an earlier holder started.
 
-        Its resource usage is unknown, so nothing is placed beside it.
+        Its resource usage is unknown, so nothing is placed beside it. The node
+        that started it may have renewed the worker's lease until now.
         """
+        now_ms = self._clock.now_ms()
+        worker.on_lease_renewed(now_ms, self.timing.lease_ms)
         run = Run(
             row.task_id,
             row.number,
             worker.name,
             None,
             RunState.RUNNING,
-            self._clock.now_ms(),
+            now_ms,
         )
         run.confirmed_ms = run.commanded_ms
         run.checkpoint = row.checkpoint
@@ -694,8 +698,8 @@
     def defer_end_to_holder(self, row: EndedRun, worker: Worker) -> None:
         """Leaves the end of an inherited run to the holder.
 
-        The end is not acknowledged, so the worker goes on listing it. Where
-        kept jobs are in use, the holder may start the task elsewhere in the
+        The end is not acknowledged, so the worker goes on listing it. If kept
+        jobs may be in use, the holder may start the task elsewhere in the
         meantime, so the lease that it gave must lapse first.
 
         Args:
@@ -703,8 +707,8 @@
             worker: the worker that lists it.
         """
         worker.hold_ack(row.sequence)
-        if self.has_kept_jobs:
-            worker.deferred_end_ms = self._clock.now_ms()
+        if self.may_have_kept_jobs:
+            worker.on_end_deferred(self._clock.now_ms())
 
     def claim_inherited_run(self, task: Task, work_ms: float) -> bool:
         """Assigns an inherited run to its task.
