Send the workers of a scheduler to all entry nodes

Cause: before the new holder starts a job that another node may have started, all workers that it knows must have accepted its token. A worker whose heartbeat only the former holder had received, as its control node was not connected to the new one and to the job's entry node, was left out, ran on, and even took further starts from a former holder that had missed the grant.

Change: a node that schedules workers sends them to all connected entry nodes when it begins, to each that connects, and each new worker when it is first heard of, which is a poll before anything starts there.

A former holder that is cut off from the next one may still start a task on a worker that it alone has heard of since.

Three tests of jobs that a former holder may have started relied on workers that the new holder does not know; there the other nodes now get them removed, so that the condition stays. They fail without the change that they guard, as before.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -198,6 +198,8 @@
             # A report may have been lost with the former connection.
             self._unused_at = ""
         self._role.update_reachability(self._open_nodes.values())
+        if greeting.role == ENTRY_ROLE and self.dispatcher:
+            self._send(greeting.node, self._scheduled_workers())
         if greeting.node == self.holder:
             self.callers.forward_all()
 
@@ -262,7 +264,10 @@
             return
         self._workers[info.name] = info
         if self.dispatcher and self._is_scheduled_here(info):
+            is_new = info.name not in self.dispatcher.fleet.workers
             self.dispatcher.on_worker_heartbeat(info)
+            if is_new:
+                self._broadcast(ENTRY_ROLE, WorkersPush((info,)))
 
     def _on_worker_removed(self, name: str, born_ms: int) -> None:
         self._forget_worker(name, born_ms)
@@ -364,6 +369,7 @@
         for info in self._workers.values():
             if self._is_scheduled_here(info):
                 self.dispatcher.on_worker_heartbeat(info)
+        self._broadcast(ENTRY_ROLE, self._scheduled_workers())
         self.callers.mark_unsent(self.node)
         # A sender that had this node as the holder under the preceding grant,
         # too, does not forward its jobs again.
@@ -471,11 +477,24 @@
         if not self._has_kept_jobs and kept_jobs.is_in_use:
             self._send_counts()
 
+    def _scheduled_workers(self) -> WorkersPush:
+        """Returns the workers that this node schedules.
+
+        Other entry nodes must have them before a task is started there: one of
+        them may be the next holder, and lack a worker that has only announced
+        itself to a control node that it is not connected to.
+        """
+        workers = self.dispatcher.fleet.workers.values()
+        return WorkersPush(tuple(worker.info for worker in workers))
+
+    def _send(self, node: str, message: Message) -> None:
+        self._actions.append(SendToNode(node, message))
+
     def _broadcast(self, role: str, message: Message) -> None:
         """Sends a message to all connected nodes of a role."""
         for greeting in self._open_nodes.values():
             if greeting.role == role:
-                self._actions.append(SendToNode(greeting.node, message))
+                self._send(greeting.node, message)
 
     def begin_stop(self) -> None:
         """Starts a planned shutdown.
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -167,6 +167,9 @@
     site.submit("a-1/2", "job", template=template)
     site.run(20)
     assert _runs_of(site, "job")
+    for node in ("a-1/2", "b-0/2"):
+        for name in ("worker-c-0", "worker-c-1"):
+            site.entries[node].on_message("control", WorkerLeft(name))
     site.grant("b-0/2", {"a": "a-1/2", "c": "c-0/1"})
     return site, template
 
@@ -795,3 +798,40 @@
     while run.end_ms is None:
         assert run.task_id in listed
         site.run(1)
+
+
+def _site_with_workers_known_only_to_the_holder():
+    """Returns a site whose other entry nodes lack the workers of its hall."""
+    site = _site()
+    site.restart("a-1/2", "a", {"a", "b"})
+    site.restart("b-0/2", "b", {"a", "b"})
+    site.grant("c-0/1", {"a": "a-1/2", "b": "b-0/2"})
+    site.run(300)
+    for worker in site.workers.values():
+        if worker.info.hall == "c":
+            worker.task_ms = 500.0
+    return site
+
+
+@pytest.mark.parametrize("has_former_holder_the_grant", [True, False])
+def test_new_holder_starts_no_task_that_runs_on_a_worker_it_had_not_heard_of(
+    has_former_holder_the_grant,
+):
+    site = _site_with_workers_known_only_to_the_holder()
+    template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=500.0)
+    site.submit("a-1/2", "job", count=12, template=template)
+    if has_former_holder_the_grant:
+        site.run(20)
+        assert len(site.runs) == 12
+    else:
+        site.leader.unreachable_from.add("c-0/1")
+    site.grant("b-0/2", {"a": "a-1/2", "c": "c-1/1"})
+    site.run(4000)
+    assert site.overlapping_runs() == []
+
+
+def test_entry_node_that_connects_gets_the_workers_of_the_scheduler():
+    site = _site()
+    site.restart("c-1/2", "c", set())
+    site.run(50)
+    assert site.entries["c-1/2"].known_workers == set(site.workers)
