Reserve enough poll numbers for each fencing token

Cause: a poll's number tells the token that it carried, and a million numbers were reserved for each. A worker that is polled a hundred times a second uses them up in three hours under one grant; its polls would then no longer count, and jobs of a former holder would wait for it in vain. A reviewer pointed to the limit.

Change: 2^40 numbers for each token.

Measured: the test fails before and passes after.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -48,8 +48,9 @@
 RUN_NUMBER_SKIP = 1000
 # Pause of the polls of a worker that has rejected the fencing token.
 FENCED_PAUSE_MS = 500.0
-# Poll numbers that are reserved for each fencing token.
-CALLS_PER_FENCE = 1_000_000
+# Poll numbers that are reserved for each fencing token; more than a worker is
+# ever polled under one, as a poll's number tells its token.
+POLLS_PER_FENCE = 1 << 40
 
 
 class RunOutcome(enum.Enum):
@@ -190,7 +191,7 @@
         self.fence = fence
         now_ms = self._clock.now_ms()
         for worker in self.workers.values():
-            worker.last_poll = fence * CALLS_PER_FENCE
+            worker.last_poll = fence * POLLS_PER_FENCE
             worker.next_poll_ms = now_ms
 
     # Addition and removal of workers.
@@ -201,7 +202,7 @@
         if existing is None:
             # Replies to polls that this node sent under an earlier grant must
             # not match its present polls, so each fence has its own numbers.
-            first_poll = self.fence * CALLS_PER_FENCE
+            first_poll = self.fence * POLLS_PER_FENCE
             now_ms = self._clock.now_ms()
             worker = Worker(info, now_ms, first_poll)
             # Another node may have renewed the lease just now.
@@ -502,7 +503,7 @@
             return
         self._record_reply(worker, reply.clock_ms)
         self._on_reachable(worker)
-        fence = poll_id // CALLS_PER_FENCE
+        fence = poll_id // POLLS_PER_FENCE
         self._on_fence_accepted(worker, fence, now_ms)
         for row in reply.ended:
             self._on_ended(worker, row)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -837,6 +837,17 @@
     assert site.entries["c-1/2"].known_workers == set(site.workers)
 
 
+def test_worker_stays_known_after_millions_of_polls_under_one_grant():
+    site = _site()
+    fleet = site.entries[HOLDER].dispatcher.fleet
+    for worker in fleet.workers.values():
+        worker.last_poll += 100_000_000
+    since_ms = site.clock.now_ms()
+    site.run(1000)
+    assert fleet.is_synced_since(since_ms)
+    assert {w.accepted_fence for w in fleet.workers.values()} == {fleet.fence}
+
+
 def test_standby_starts_no_resubmitted_job_that_the_holder_runs():
     site = make_granted_site(task_ms=1800.0, settle_ms=200)
     template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
