Move the ends of runs out of the fleet's module

Change: RunOutcome, EndCause, FleetListener and the meaning of the ends that workers list are in pool.run_ends; the docstring of sole_holder_until_ms no longer says that no other node renewed a lease. No behaviour changes.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -20,13 +20,14 @@
     PoolAction,
     SendToNode,
 )
-from clayfield.pool.fleet import Fleet, FleetListener, RunOutcome
+from clayfield.pool.fleet import Fleet
 from clayfield.pool.intake import MIN_RETRY_MS, Intake
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.kept import RUNS_PER_EPOCH, KeptJobs
 from clayfield.pool.placement import WorkerSelector
 from clayfield.pool.refusals import Refusals
+from clayfield.pool.run_ends import FleetListener, RunOutcome
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.tickets import TicketCache
 from clayfield.pool.timing import PoolTiming
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -8,9 +8,6 @@
 run as ended, or is removed.
 """
 
-import abc
-import enum
-
 import msgspec
 
 from clayfield.base import Clock
@@ -29,6 +26,12 @@
     ThrottleRun,
 )
 from clayfield.pool.polling import POLL_WAIT_MS, PollSchedule
+from clayfield.pool.run_ends import (
+    EndCause,
+    FleetListener,
+    RunOutcome,
+    outcome_of,
+)
 from clayfield.pool.tasks import Run, RunState, Task, TaskId
 from clayfield.pool.throttling import choose_throttles
 from clayfield.pool.timing import PoolTiming
@@ -53,57 +56,6 @@
 POLLS_PER_FENCE = 1 << 40
 
 
-class RunOutcome(enum.Enum):
-    """How a run ended for its task.
-
-    LOST: the run has neither succeeded nor failed, and its task must run
-    again.
-    """
-
-    DONE = "done"
-    FAILED = "failed"
-    LOST = "lost"
-
-
-class EndCause(enum.StrEnum):
-    """The evidence from which the fleet concluded that a run has ended.
-
-    LISTED: the worker listed its end. UNLISTED: the worker no longer lists
-    it. LEASE_LAPSED: the lease of its unreachable worker has lapsed.
-    START_REJECTED: the worker rejected the start. WORKER_REMOVED: the worker
-    was removed.
-    """
-
-    LISTED = "listed"
-    UNLISTED = "unlisted"
-    LEASE_LAPSED = "lease-lapsed"
-    START_REJECTED = "start-rejected"
-    WORKER_REMOVED = "worker-removed"
-
-
-_RUN_ENDS = {EndKind.DONE: RunOutcome.DONE, EndKind.FAILED: RunOutcome.FAILED}
-
-
-class FleetListener(abc.ABC):
-    """Receives the events of a fleet."""
-
-    @abc.abstractmethod
-    def on_run_end(self, run: Run, end: RunOutcome, worker: Worker) -> None:
-        """Handles the end of a run; its capacity is already released."""
-
-    @abc.abstractmethod
-    def on_inherited_end(self, row: EndedRun, worker: Worker) -> None:
-        """Handles the end of a run that an earlier holder started."""
-
-    @abc.abstractmethod
-    def on_ticket_rejected(self, run: Run, worker: Worker) -> None:
-        """Handles a start that failed because of the advisor's ticket."""
-
-    @abc.abstractmethod
-    def on_fenced(self, worker: Worker) -> None:
-        """Handles a worker that has accepted a higher fencing token."""
-
-
 class Fleet:
     """All workers that this node schedules.
 
@@ -117,8 +69,8 @@
         is_standby: whether this node is a standby; the holder may then claim
             inherited runs.
         sole_holder_until_ms: time until which this node was certainly the only
-            holder, so that no other node renewed a lease, in ms; 0 for a
-            standby.
+            holder, in ms; 0 for a standby. A hall's standby may still have
+            renewed leases of the hall's workers.
         hall_connected_ms: time of the latest new connection to a node of a
             hall, by hall, in ms; without the halls that are not connected.
         may_have_kept_jobs: whether kept jobs may be in use, as far as a
@@ -606,7 +558,7 @@
         if is_current:
             run.end_sequence = row.sequence
             run.checkpoint = row.checkpoint
-            end = _RUN_ENDS.get(row.kind, RunOutcome.LOST)
+            end = outcome_of(row.kind)
             self._end_run(worker, run, end, EndCause.LISTED)
 
     def _record_inherited_end(self, worker: Worker, row: EndedRun) -> None:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -16,7 +16,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.pool.admission import Admission
 from clayfield.pool.commands import EndedRun, EndKind, SendToNode
-from clayfield.pool.fleet import Fleet, RunOutcome
+from clayfield.pool.fleet import Fleet
 from clayfield.pool.job_store_client import (
     AUTHORITY_MS,
     JobChangeRecord,
@@ -24,6 +24,7 @@
 )
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.refusals import Refusals
+from clayfield.pool.run_ends import RunOutcome
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import MAX_CLOCK_DRIFT, MAX_TRANSIT_MS, Worker
--- /dev/null
+++ b/packages/pool/src/clayfield/pool/run_ends.py
@@ -0,0 +1,64 @@
+"""How runs end, on which evidence, and the interface that receives the ends."""
+
+import abc
+import enum
+
+from clayfield.pool.commands import EndedRun, EndKind
+from clayfield.pool.tasks import Run
+from clayfield.pool.worker import Worker
+
+
+class RunOutcome(enum.Enum):
+    """How a run ended for its task.
+
+    LOST: the run has neither succeeded nor failed, and its task must run
+    again.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class EndCause(enum.StrEnum):
+    """The evidence from which the fleet concluded that a run has ended.
+
+    LISTED: the worker listed its end. UNLISTED: the worker no longer lists
+    it. LEASE_LAPSED: the lease of its unreachable worker has lapsed.
+    START_REJECTED: the worker rejected the start. WORKER_REMOVED: the worker
+    was removed.
+    """
+
+    LISTED = "listed"
+    UNLISTED = "unlisted"
+    LEASE_LAPSED = "lease-lapsed"
+    START_REJECTED = "start-rejected"
+    WORKER_REMOVED = "worker-removed"
+
+
+_OUTCOMES = {EndKind.DONE: RunOutcome.DONE, EndKind.FAILED: RunOutcome.FAILED}
+
+
+def outcome_of(kind: EndKind) -> RunOutcome:
+    """Returns what an end that a worker lists means for the task."""
+    return _OUTCOMES.get(kind, RunOutcome.LOST)
+
+
+class FleetListener(abc.ABC):
+    """Receives the events of a fleet."""
+
+    @abc.abstractmethod
+    def on_run_end(self, run: Run, end: RunOutcome, worker: Worker) -> None:
+        """Handles the end of a run; its capacity is already released."""
+
+    @abc.abstractmethod
+    def on_inherited_end(self, row: EndedRun, worker: Worker) -> None:
+        """Handles the end of a run that an earlier holder started."""
+
+    @abc.abstractmethod
+    def on_ticket_rejected(self, run: Run, worker: Worker) -> None:
+        """Handles a start that failed because of the advisor's ticket."""
+
+    @abc.abstractmethod
+    def on_fenced(self, worker: Worker) -> None:
+        """Handles a worker that has accepted a higher fencing token."""
