Renew no lease once the authority over kept jobs has ended

What callers would see: a task of a kept job starts again after its end `done` was noted, if its holder was cut off, its process was suspended past the end of its authority, and its hall rejoins soon after the next holder has started the task elsewhere.

Cause: the holder noticed the end of its authority only in `KeptJobs.tick`, which runs after `Fleet.tick`. Polls that were sent before, in the same tick or on a reply that is handled first, renewed the leases of workers with ends of kept jobs.

Change: `Fleet` notifies its listener before every poll that would renew a lease, and the dispatcher then compares the authority with that of the last check, also before it places tasks. The simulated site can freeze entry nodes.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -285,6 +285,11 @@
         """Handles a worker's rejection of this holder's fencing token."""
         self.is_fenced = True
 
+    def before_renewal(self) -> None:
+        """Withholds leases beside kept jobs if the authority has just ended."""
+        if self.kept_jobs:
+            self.kept_jobs.update_authority()
+
     def is_next_epoch(self, epoch: int) -> bool:
         """Returns whether an epoch directly follows this holder's epoch.
 
@@ -417,6 +422,7 @@
         """
         if not self._is_changed and not self._jobs.is_changed:
             return
+        self.before_renewal()
         self._is_changed = False
         self._jobs.is_changed = False
         now_ms = self._clock.now_ms()
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -102,6 +102,13 @@
     def on_fenced(self, worker: Worker) -> None:
         """Handles a worker that has accepted a higher fencing token."""
 
+    @abc.abstractmethod
+    def before_renewal(self) -> None:
+        """Withholds the leases that must not be renewed any more.
+
+        Called before every poll that would renew a lease.
+        """
+
 
 class Fleet:
     """All workers that this node schedules.
@@ -341,6 +348,8 @@
         now_ms = self._clock.now_ms()
         lease_ms = self.timing.lease_ms
         until_ms: float | None = None
+        if worker.is_reachable:
+            self._listener.before_renewal()
         if worker.is_reachable and not worker.is_lease_withheld:
             until_ms = worker.lease_until(now_ms, lease_ms)
         if until_ms is not None:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -569,6 +569,15 @@
             task.state = TaskState.PLACED
             open_job.is_started = True
 
+    def update_authority(self) -> None:
+        """Acts on the end or return of the authority since the last tick.
+
+        A node whose process was suspended may renew leases before its next
+        tick.
+        """
+        if self.store.has_authority != self._had_authority:
+            self._check_authority(self._clock.now_ms())
+
     def _check_authority(self, now_ms: float) -> None:
         """Stops runs of kept jobs that another holder may start elsewhere."""
         has_authority = self.store.has_authority
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -135,6 +135,7 @@
         self._epoch = 0
         self._grant = Grant(0, "")
         self._dead: set[str] = set()
+        self._frozen_until_ms: dict[str, float] = {}
         for hall in halls:
             self._add_hall(hall, workers_per_hall)
         self._connect_all()
@@ -176,6 +177,9 @@
     def _tick(self, node: str) -> None:
         if node in self._dead:
             return
+        if self._frozen_ms(node):
+            self.call_later(self._frozen_ms(node), lambda: self._tick(node))
+            return
         self.entries[node].tick()
         self._run_actions(node)
         self.call_later(TICK_MS, lambda: self._tick(node))
@@ -346,6 +350,18 @@
         for other in self.entries.values():
             other.on_disconnected(node)
 
+    def freeze(self, node: str, duration_ms: float) -> None:
+        """Suspends the process of an entry node for a time.
+
+        What arrives meanwhile is handled once it goes on.
+        """
+        self._frozen_until_ms[node] = self.clock.now_ms() + duration_ms
+
+    def _frozen_ms(self, node: str) -> float:
+        """Returns for how long an entry node is still frozen, in ms."""
+        until_ms = self._frozen_until_ms.get(node, 0.0)
+        return max(0.0, until_ms - self.clock.now_ms())
+
     def restart(self, node: str, hall: str, worker_halls: set[str]) -> None:
         """Starts an entry node that has the workers of some halls only.
 
@@ -420,7 +436,9 @@
         """Delivers a message to an entry node after the delay."""
 
         def arrive() -> None:
-            if node not in self._dead:
+            if self._frozen_ms(node):
+                self.call_later(self._frozen_ms(node), arrive)
+            elif node not in self._dead:
                 self.entries[node].on_message(source, message)
                 self._run_actions(node)
 
@@ -496,7 +514,9 @@
         """Calls the handler of a reply at an entry node after the delay."""
 
         def arrive() -> None:
-            if entry.node not in self._dead:
+            if self._frozen_ms(entry.node):
+                self.call_later(self._frozen_ms(entry.node), arrive)
+            elif entry.node not in self._dead:
                 handle()
                 self._run_actions(entry.node)
 
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -596,3 +596,28 @@
     site.grant(HOLDER, standbys)
     site.run(4000)
     assert site.find_restarts_after_end() == []
+
+
+@pytest.mark.parametrize("frozen_ms", [850, 900, 950])
+@pytest.mark.parametrize("freeze_at_ms", [1400, 1440])
+def test_holder_that_was_frozen_past_its_authority_renews_no_lease(
+    freeze_at_ms, frozen_ms
+):
+    site = make_granted_site(task_ms=1600.0)
+    template = _step(1500.0)
+    site.submit("a-0/1", "earlier", count=1, is_kept=True, template=template)
+    site.run(2600)
+    site.submit("a-0/1", "job", count=12, is_kept=True, template=template)
+    site.run(60)
+    site.partition("a")
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(freeze_at_ms)
+    # The runs of the hall end meanwhile.
+    site.freeze(HOLDER, frozen_ms)
+    # The next holder starts their tasks elsewhere after 2.73 s.
+    site.run(2800 - freeze_at_ms)
+    site.heal("a")
+    site.run(10)
+    site.grant("b-0/1", {"c": "c-0/1"})
+    site.run(5000)
+    assert site.find_restarts_after_end() == []
