--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -297,6 +297,8 @@
         now_ms = self._clock.now_ms()
         lease_ms = self.timing.lease_ms
         until_ms: float | None = None
+        if worker.is_reachable:
+            self._listener.before_renewal()
         if worker.is_reachable and not worker.is_lease_withheld:
             until_ms = worker.lease_until(now_ms, lease_ms)
         if until_ms is not None:
--- a/packages/pool/src/clayfield/pool/run_ends.py
+++ b/packages/pool/src/clayfield/pool/run_ends.py
@@ -62,3 +62,10 @@
     @abc.abstractmethod
     def on_fenced(self, worker: Worker) -> None:
         """Handles a worker that has accepted a higher fencing token."""
+
+    @abc.abstractmethod
+    def before_renewal(self) -> None:
+        """Withholds the leases that must not be renewed any more.
+
+        Called before every poll that would renew a lease.
+        """
