Keep to refusals when a node gets the grant back

Cause: the refusals were stored by the dispatcher, which is dropped when the node loses the grant. When it got the grant back, the second copy of a job that it had refused could still arrive, and was opened.

Change: the entry node stores its refusals and shares them with each dispatcher that it creates.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -64,6 +64,7 @@
         fence: int,
         store: JobStoreClient | None = None,
         listening_since_ms: float = 0.0,
+        refusals: Refusals | None = None,
     ):
         """Creates a dispatcher without workers or jobs.
 
@@ -74,6 +75,7 @@
             store: client of the job store; None on a standby.
             listening_since_ms: time since when this node has received the
                 heartbeats of workers, in ms.
+            refusals: the refusals that this node has sent; None for none.
         """
         self._clock = clock
         is_standby = store is None
@@ -82,7 +84,7 @@
         self.tickets = TicketCache(clock)
         self._jobs = JobTable()
         self._admission = Admission()
-        self._refusals = Refusals(clock)
+        self._refusals = refusals or Refusals(clock)
         self._intake = Intake(
             clock,
             self.fleet,
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -14,6 +14,7 @@
 from clayfield.pool.dispatcher import Dispatcher
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.kept import KeptJobs
+from clayfield.pool.refusals import Refusals
 from clayfield.pool.role import CONTROL_ROLE, ENTRY_ROLE, Role
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
@@ -78,6 +79,9 @@
         self._workers: dict[str, WorkerInfo] = {}
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
+        # Shared by all dispatchers, since a copy of a refused job may arrive
+        # after the next grant.
+        self._refusals = Refusals(clock)
         self._early_submits: list[tuple[float, str, SubmitJob]] = []
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
@@ -333,6 +337,7 @@
             self._role.fence,
             store,
             self._started_ms,
+            self._refusals,
         )
         self.dispatcher.fleet.has_kept_jobs = self._has_kept_jobs
         self._send_status()
--- a/packages/pool/src/clayfield/pool/refusals.py
+++ b/packages/pool/src/clayfield/pool/refusals.py
@@ -1,6 +1,6 @@
-"""Refusals that a scheduler must not revise.
+"""Refusals that the node that sent them must not revise.
 
-An entry node may send a job to the same scheduler more than once: when its
+An entry node may send a job to the same holder more than once: when its
 connection breaks, it sends the job again on the next one. A copy sent on the
 broken connection may still be read, before or after the later copy. Once one
 of them was refused, the caller may have been told, so none may be run.
@@ -14,7 +14,7 @@
 
 
 class Refusals:
-    """The refusals that one scheduler has sent recently."""
+    """The refusals that one node has sent recently."""
 
     __slots__ = ("_by_job", "_clock")
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -116,6 +116,17 @@
     assert len(_runs_of(site, "late")) == 6
 
 
+def test_refused_job_never_runs_after_its_holder_was_replaced_in_between():
+    site = _site_with_refused_job(first=1, second=300)
+    site.run(5)
+    assert _verdicts(site)["late"] is Verdict.REFUSED
+    for holder, standbys in (("b-0/1", {"c": "c-0/1"}), (HOLDER, STANDBYS)):
+        site.grant(holder, standbys)
+        site.run(20)
+    site.run(3000)
+    assert _runs_of(site, "late") == []
+
+
 def test_refusal_by_a_holder_that_was_replaced_in_between_is_ignored():
     site = _site_with_refused_job()
     site.delay_messages(HOLDER, 30)
