--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -14,6 +14,7 @@
 from clayfield.pool.dispatcher import Dispatcher
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.kept import KeptJobs
+from clayfield.pool.refusals import Refusals
 from clayfield.pool.role import CONTROL_ROLE, ENTRY_ROLE, Role
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
@@ -81,6 +82,9 @@
         self._has_kept_jobs = False
         # The last node that reported, as the holder, no use of kept jobs.
         self._unused_at = ""
+        # Shared by all dispatchers, since a copy of a refused job may arrive
+        # after the next grant.
+        self._refusals = Refusals(clock)
         self._early_submits: list[tuple[float, str, SubmitJob]] = []
         self._min_submit_epoch = 0
         self._actions: list[EntryAction] = []
@@ -364,6 +368,7 @@
             self._role.fence,
             store,
             self._started_ms,
+            self._refusals,
         )
         self._send_status()
         for info in self._workers.values():
