Restart the workers of the process tests under their names

Cause: restarts of workers were played on the manual clock only.

Change: the process of fake workers starts all of them again on SIGUSR1, with new numbers, clocks and starts; a test sends it and checks that each task is started once afterwards, through real programs and the native protocol.

The new test was not run on the code before the fix, which lacks the event that it waits for.

--- a/packages/testbed/src/clayfield/testbed/pool_workers.py
+++ b/packages/testbed/src/clayfield/testbed/pool_workers.py
@@ -1,11 +1,13 @@
 """A process of stand-in workers on loopback.
 
 Each worker serves clayfield's native worker protocol and sends its heartbeats
-to the control nodes. Every task takes the same fixed time and does nothing.
+to the control nodes. Every task takes the same fixed time and does nothing. On
+SIGUSR1 all workers start again under the names that they have.
 """
 
 import argparse
 import random
+import signal
 
 import msgspec
 from twisted.internet import reactor, task
@@ -151,7 +153,8 @@
         runs: PollReply | None = None,
     ) -> None:
         """Sends the HTTP response, with the runs if it replies to a poll."""
-        reply = WorkerReply(result, self._site.clock.now_ms())
+        reply = WorkerReply(result, self._worker.clock_ms)
+        reply.born_ms = self._worker.info.born_ms
         if runs:
             reply.running = [
                 RunningItem(
@@ -171,6 +174,11 @@
             ]
         request.respond(200, msgspec.json.encode(reply))
 
+    def restart(self) -> None:
+        """Starts the worker again under its name and address."""
+        self._worker.restart()
+        self._sequence = 0
+
     def send_heartbeat(self, control: ConnectionPool) -> None:
         """Sends the description of this worker to a control node."""
         self._sequence += 1
@@ -183,6 +191,7 @@
             "sequence": self._sequence,
             "cpu": info.cpu,
             "memory_mb": info.memory_mb,
+            "born_ms": info.born_ms,
         }
         content = msgspec.json.encode(heartbeat)
         head = (
@@ -217,6 +226,14 @@
             for worker in workers:
                 worker.send_heartbeat(pool)
 
+    def restart_all() -> None:
+        for worker in workers:
+            worker.restart()
+
+    def on_signal(*_: object) -> None:
+        reactor.callFromThread(restart_all)
+
+    signal.signal(signal.SIGUSR1, on_signal)
     task.LoopingCall(send_heartbeats).start(HEARTBEAT_INTERVAL_S)
     reactor.callWhenRunning(lambda: print("ready", flush=True))
     reactor.run()
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -288,6 +288,31 @@
     assert by_name["JOB_ENDED"]["starts"] == 4
 
 
+def _events(pool, name):
+    """Returns the log lines of an event at all entry nodes."""
+    lines = [
+        json.loads(line)
+        for entry in pool.entries
+        for line in entry.log.read_text().splitlines()
+        if f'"{name}"' in line
+    ]
+    return [line for line in lines if line["name"] == name]
+
+
+def test_tasks_on_workers_that_restart_under_their_names_run_once(pool):
+    pool.workers.send_signal(signal.SIGUSR1)
+    wait_for(
+        lambda: len(_events(pool, "WORKER_RESTARTED")) >= 4,
+        "the restart of all workers is known",
+    )
+    for number in range(5):
+        status, body, _ = _submit(pool.entries[0], f"restarted-{number}")
+        assert (status, json.loads(body)) == (200, {"verdict": "completed"})
+    ended = {line["job"]: line for line in _events(pool, "JOB_ENDED")}
+    starts = [ended[f"restarted-{number}"]["starts"] for number in range(5)]
+    assert starts == [4] * 5
+
+
 def test_stopping_entry_node_is_not_ready_but_serves_jobs(pool):
     entry = pool.entries[0]
     conn = http.client.HTTPConnection(LOOPBACK, entry.port, timeout=30)
