Reply to the poll that was sent in the test of both protocols

Change: the test takes the number from the poll that the dispatcher sends, and now also checks that it sends exactly one. What it compares stays.

Measured: test_platform passes.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -533,9 +533,9 @@
     dispatcher = Dispatcher(clock, PoolTiming(), 8)
     dispatcher.on_worker_heartbeat(info)
     dispatcher.tick()
-    dispatcher.take_actions()
+    (poll,) = dispatcher.take_actions()
     reply = PollReply(CommandResult.DONE, 5000.0)
-    dispatcher.fleet.on_poll_reply(info.name, 8_000_001, 1000.0, reply)
+    dispatcher.fleet.on_poll_reply(info.name, poll.poll_id, 1000.0, reply)
     dispatcher.on_submit("entry/1", SubmitJob(call.job, 0.0, 1))
     dispatcher.place_tasks()
     return [
