Stop the runs of a job whose entry node is lost before it is submitted again

Callers saw: a job that is not kept ran twice at the same time if its entry node was lost, its hall was cut off, and its caller submitted it again there: the hall's standby started it while the holder, which keeps the jobs of a dead entry node until their timeout, still ran it.

Cause: nothing bounded the runs of a job by the time after which its caller may submit it again (1.3 s on the users' platform), and the holder had no evidence that anybody still waited for it. Evidence (manual clock): the first runs were in hall a, and the two JOB_ENDED lines have the fences of holder and standby, which refutes a run that the standby missed on its own workers and a job that the holder opened twice.

Change: an entry node has its jobs run in a session with the scheduler, which probes the entry nodes of its open jobs every 200 ms. A reply echoes the time of the probe, on the scheduler's clock, so that one read late proves nothing new. 1.0 s after the last probe that was answered the job is paused: its runs are stopped, and it goes on if its entry node replies again. No worker's lease is renewed past 1.25 s after that probe, so the runs end even if the scheduler is lost or suspended in between, and a scheduler that wakes up starts nothing for a silent entry node. Both times follow from resubmit_ms, a new setting. New events JOB_PAUSED and JOB_RESUMED.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -278,6 +278,19 @@
         "a worker started again under its name",
         ("worker", "born_ms", "runs"),
     )
+    JOB_PAUSED = _Spec(
+        6020,
+        logbook.WARNING,
+        "the runs of a job are stopped, as no entry node confirms that it"
+        " waits",
+        ("job", "entries", "silent_ms", "runs", "fence"),
+    )
+    JOB_RESUMED = _Spec(
+        6021,
+        logbook.INFO,
+        "an entry node confirms again that it waits for a paused job",
+        ("job", "entries", "silent_ms", "runs", "fence"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -63,6 +63,13 @@
 GRACE_MARGIN_MS = 500.0
 
 
+def to_timing(cfg: NodeSettings) -> PoolTiming:
+    """Returns the times of the pool in a node's settings."""
+    return PoolTiming(
+        cfg.lease_ms, cfg.stop_ms, cfg.keep_ended_ms, cfg.resubmit_ms
+    )
+
+
 class _PendingRequest:
     """A caller's HTTP request that waits for its response.
 
@@ -116,8 +123,9 @@
         self._clock = MonotonicClock()
         incarnation = int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
         self._node = node_name(format_address(cfg.peers), incarnation)
-        timing = PoolTiming(cfg.lease_ms, cfg.stop_ms, cfg.keep_ended_ms)
-        self._entry = EntryNode(self._node, cfg.hall, self._clock, timing)
+        self._entry = EntryNode(
+            self._node, cfg.hall, self._clock, to_timing(cfg)
+        )
         self._streams = Streams(
             reactor,
             NodeGreeting(cfg.cluster, self._node, ROLE, cfg.hall),
--- a/packages/node/src/clayfield/node/main.py
+++ b/packages/node/src/clayfield/node/main.py
@@ -16,6 +16,7 @@
 from clayfield.node.native import NativeCallers, NativeOperators, NativeWorkers
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import Address, NodeSettings
+from clayfield.pool.timing import PoolTiming
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -114,6 +115,13 @@
         "120000",
         "time for which the state of an ended kept job is available",
     ),
+    Setting(
+        "resubmit_ms",
+        int_in_range(1, MAX_MS),
+        "1300",
+        "time that a caller who has lost its connection waits before it"
+        " submits a job again",
+    ),
     Setting(
         "log_level",
         str,
@@ -150,6 +158,21 @@
         )
 
 
+def check_resubmit_ms(timing: PoolTiming) -> None:
+    """Checks that the runs of a lost entry node end before a resubmission.
+
+    Raises:
+        ClayfieldError: of kind BAD_SETTINGS, naming the shortest time.
+    """
+    if timing.resubmit_ms < timing.min_resubmit_ms:
+        raise ClayfieldError(
+            ErrorKind.BAD_SETTINGS,
+            f"resubmit_ms is {timing.resubmit_ms:.0f}, but runs may end only"
+            f" {timing.min_resubmit_ms:.0f} ms after their entry node is lost:"
+            " raise --resubmit-ms or lower --stop-ms.",
+        )
+
+
 def main() -> None:
     """Reads the settings, runs the node until it ends, and exits."""
     parser = argparse.ArgumentParser(
@@ -184,8 +207,9 @@
         from clayfield.node.control_process import ControlProcess
 
         return ControlProcess(cfg, NativeOperators(), load_settings)
-    from clayfield.node.entry_process import EntryProcess
+    from clayfield.node.entry_process import EntryProcess, to_timing
 
+    check_resubmit_ms(to_timing(cfg))
     return EntryProcess(
         cfg, NativeCallers(), NativeOperators(), NativeWorkers(), load_settings
     )
--- a/packages/node/src/clayfield/node/settings.py
+++ b/packages/node/src/clayfield/node/settings.py
@@ -28,6 +28,8 @@
         grace_ms: maximum time of a planned stop.
         keep_ended_ms: time for which the state of an ended kept job is
             available.
+        resubmit_ms: time that a caller who has lost its connection waits
+            before it submits a job that is not kept again.
         log_level: lowest level to log: debug, info, warning or error.
     """
 
@@ -48,6 +50,7 @@
         "operators",
         "peers",
         "readiness",
+        "resubmit_ms",
         "seeds",
         "stop_ms",
         "worker_heartbeat_ms",
@@ -72,6 +75,7 @@
         self.stop_ms = 50.0
         self.grace_ms = 6000.0
         self.keep_ended_ms = 120_000.0
+        self.resubmit_ms = 1300.0
         self.log_level = "info"
 
 
--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -20,6 +20,8 @@
     JobEnded,
     JobStateReply,
     JobStateRequest,
+    SessionProbe,
+    SessionReply,
     SubmitJob,
 )
 from clayfield.wire.jobs import Job, Reason, Verdict
@@ -136,6 +138,8 @@
         self._requests: dict[int, _Request] = {}
         self._last_request = 0
         self._last_submission = 0
+        self._session = 1
+        self._probed_ms = 0.0
 
     @property
     def open_jobs(self) -> int:
@@ -230,6 +234,9 @@
         Args:
             node: the node that they were sent to, None for any node.
         """
+        if node is None or node == self._link.holder:
+            self._session += 1
+            self._probed_ms = 0.0
         for pending in self._pending.values():
             if node is None or pending.sent_to == node:
                 pending.sent_to = ""
@@ -261,6 +268,8 @@
             link.epoch,
             pending.was_sent,
             pending.number,
+            self._session,
+            self._probed_ms,
         )
         if pending.was_sent:
             link.send_workers()
@@ -268,6 +277,18 @@
         pending.was_sent = True
         link.send_to_holder(submit)
 
+    def on_probe(self, node: str, probe: SessionProbe) -> None:
+        """Confirms to the holder that jobs still wait here.
+
+        Another node that had them before gets no reply, so that it stops their
+        runs.
+        """
+        if node != self._link.holder:
+            return
+        self._probed_ms = probe.sent_ms
+        reply = SessionReply(self._session, probe.sent_ms)
+        self._link.send_to_holder(reply)
+
     # Cancel and state requests.
 
     def cancel(self, key: str, request_id: int) -> None:
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -20,6 +20,7 @@
     PoolAction,
     SendToNode,
 )
+from clayfield.pool.entry_sessions import EntrySession, EntrySessions
 from clayfield.pool.fleet import Fleet
 from clayfield.pool.intake import MIN_RETRY_MS, Intake
 from clayfield.pool.job_store_client import JobStoreClient
@@ -32,7 +33,13 @@
 from clayfield.pool.tickets import TicketCache
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker import Worker
-from clayfield.wire.cluster import CancelJob, CancelReply, JobEnded, SubmitJob
+from clayfield.wire.cluster import (
+    CancelJob,
+    CancelReply,
+    JobEnded,
+    SessionReply,
+    SubmitJob,
+)
 from clayfield.wire.jobs import Reason, Verdict, WorkerInfo
 from clayfield.wire.messages import Message
 
@@ -66,6 +73,7 @@
         store: JobStoreClient | None = None,
         listening_since_ms: float = 0.0,
         refusals: Refusals | None = None,
+        node: str = "",
     ):
         """Creates a dispatcher without workers or jobs.
 
@@ -77,9 +85,12 @@
             listening_since_ms: time since when this node has received the
                 heartbeats of workers, in ms.
             refusals: the refusals that this node has sent; None for none.
+            node: name of this node.
         """
         self._clock = clock
         is_standby = store is None
+        self._timing = timing
+        self._sessions = EntrySessions(clock, node)
         self.fleet = Fleet(clock, timing, self, fence, is_standby)
         self.is_fenced = False
         self.tickets = TicketCache(clock)
@@ -119,6 +130,9 @@
 
     def take_actions(self) -> list[PoolAction]:
         """Returns the actions collected since the last call."""
+        for entry, probe in self._sessions.probes:
+            self._send(entry, probe)
+        self._sessions.probes.clear()
         actions = self.fleet.actions + self.tickets.actions
         self.fleet.actions.clear()
         self.tickets.actions.clear()
@@ -168,14 +182,13 @@
             submit.epoch * RUNS_PER_EPOCH if submit.was_sent else 0
         )
         open_job = OpenJob(submit.job, arrived_ms, first_run)
-        open_job.add_entry(entry, submit.number)
+        session = self._sessions.on_submit(entry, submit)
+        open_job.add_entry(entry, submit.number, session)
         self._jobs.add(open_job)
         if submit.was_sent:
             open_job.was_sent_elsewhere = True
             open_job.late_at_ms = self._admission.late_at_ms(open_job)
-            self._unresolved[key] = (self._clock.now_ms(), open_job)
-            self._must_poll = True
-            open_job.is_placeable = False
+            self._await_runs(open_job)
         elif not self._intake.admit(open_job):
             return
         self._jobs.enqueue(open_job)
@@ -187,7 +200,20 @@
         is_copy = open_job.entries.get(entry) == submit.number
         if submit.was_sent and not is_copy:
             open_job.was_sent_elsewhere = True
-        open_job.add_entry(entry, submit.number)
+        session = self._sessions.on_submit(entry, submit)
+        open_job.add_entry(entry, submit.number, session)
+
+    def _await_runs(self, open_job: OpenJob) -> None:
+        """Starts no task of a job until the runs on all workers are known."""
+        self._unresolved[open_job.job.key] = (self._clock.now_ms(), open_job)
+        self._must_poll = True
+        open_job.is_placeable = False
+
+    def on_session_reply(self, entry: str, reply: SessionReply) -> None:
+        """Handles the confirmation that an entry node waits for its jobs."""
+        self._sessions.on_reply(entry, reply)
+        self.fleet.renew_withheld_leases()
+        self._is_changed = True
 
     def _on_submit_kept(self, entry: str, submit: SubmitJob) -> None:
         """Passes on a kept job, or refuses it on a standby."""
@@ -359,6 +385,7 @@
             has_timed_out = now_ms >= open_job.timeout_at_ms
             if has_timed_out and not open_job.job.is_kept:
                 self._abort(open_job, Reason.TIMED_OUT)
+        self._check_entries(now_ms)
         self._jobs.release_due(self._clock.wall_ms())
         self._jobs.mark_late(now_ms)
         self._move_hung_runs(now_ms)
@@ -370,6 +397,52 @@
         self._refusals.expire()
         self._is_changed = True
 
+    def _check_entries(self, now_ms: float) -> None:
+        """Pauses the jobs that no entry node is known to wait for.
+
+        Their callers may submit them to another scheduler. A paused job
+        continues if one of its entry nodes replies again.
+        """
+        sessions: dict[str, EntrySession] = {}
+        for open_job in self._jobs.by_key.values():
+            sessions |= open_job.sessions
+            if not open_job.is_started:
+                continue
+            silent_ms = now_ms - open_job.silent_since_ms
+            is_silent = silent_ms > self._timing.entry_timeout_ms
+            if is_silent != open_job.is_paused:
+                open_job.is_paused = is_silent
+                self._on_paused(open_job, silent_ms)
+        self._sessions.probe_due(sessions.values())
+
+    def _is_awaited(self, open_job: OpenJob, now_ms: float) -> bool:
+        """Returns whether an entry node surely waits for a job."""
+        silent_ms = now_ms - open_job.confirmed_ms
+        return silent_ms <= self._timing.entry_timeout_ms
+
+    def _on_paused(self, open_job: OpenJob, silent_ms: float) -> None:
+        """Stops the runs of a job that was paused; logs the change."""
+        runs = [task.run for task in open_job.all_tasks() if task.run]
+        event = Event.JOB_RESUMED
+        if open_job.is_paused:
+            event = Event.JOB_PAUSED
+            self._stop_all(runs)
+        emit(
+            event,
+            job=open_job.job.key,
+            entries=sorted(open_job.entries),
+            silent_ms=round(silent_ms),
+            runs=len(runs),
+            fence=self.fleet.fence,
+        )
+
+    def lease_limit_ms(self, run: Run) -> float:
+        """Returns the time to which a lease may be renewed beside a run."""
+        if run.task is None:
+            return math.inf
+        confirmed_ms = run.task.job.confirmed_ms
+        return confirmed_ms + self._timing.run_limit_ms
+
     def _move_hung_runs(self, now_ms: float) -> None:
         """Stops hung and very slow runs, at most once for each task.
 
@@ -495,14 +568,18 @@
         for open_job in self._jobs.waiting_jobs():
             if open_job.job.key in blocked_keys:
                 continue
-            if not open_job.is_placeable or not self._may_place(open_job):
+            if not open_job.is_placeable or not self._may_place(
+                open_job, now_ms
+            ):
                 continue
             misses = 0 if self._place_job(open_job, selector) else misses + 1
             if misses >= MAX_CONSECUTIVE_MISSES:
                 break
 
-    def _may_place(self, open_job: OpenJob) -> bool:
-        return not open_job.job.is_kept or self.kept_jobs.may_place(open_job)
+    def _may_place(self, open_job: OpenJob, now_ms: float) -> bool:
+        if open_job.job.is_kept:
+            return self.kept_jobs.may_place(open_job)
+        return self._is_awaited(open_job, now_ms)
 
     def _place_job(self, open_job: OpenJob, selector: WorkerSelector) -> bool:
         """Starts the tasks of a job that fit; returns whether one started."""
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -30,6 +30,8 @@
     JobStateRequest,
     NodeGreeting,
     QueueCounts,
+    SessionProbe,
+    SessionReply,
     SubmitJob,
     WorkerLeft,
     WorkersPush,
@@ -230,6 +232,11 @@
             case CancelJob():
                 if self.dispatcher:
                     self.dispatcher.on_cancel(node, message)
+            case SessionProbe():
+                self.callers.on_probe(node, message)
+            case SessionReply():
+                if self.dispatcher:
+                    self.dispatcher.on_session_reply(node, message)
             case JobEnded():
                 self.callers.on_job_ended(node, message)
             case CancelReply():
@@ -369,6 +376,7 @@
             store,
             self._started_ms,
             self._refusals,
+            self.node,
         )
         self._send_status()
         for info in self._workers.values():
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -8,6 +8,8 @@
 run as ended, or is removed.
 """
 
+import math
+
 import msgspec
 
 from clayfield.base import Clock
@@ -99,6 +101,9 @@
         self._removed: list[WorkerInfo] = []
         self._recorded_ends: dict[TaskId, tuple[float, EndKind]] = {}
         self._probe_at_ms: dict[str, float] = {}
+        # Workers whose last poll did not renew the lease, as the limit of a
+        # run was reached.
+        self._unrenewed: set[str] = set()
         self._schedule = PollSchedule(self.workers)
 
     # Queries.
@@ -248,7 +253,7 @@
         run.set_expected_time(work_ms, worker.speed)
         task.run = run
         worker.reserve(run)
-        lease_ms = self.timing.lease_ms
+        lease_ms = self._lease_ms(worker, now_ms)
         worker.on_lease_renewed(now_ms, lease_ms)
         self.actions.append(
             StartRun(
@@ -265,6 +270,18 @@
         )
         self._ensure_short_poll(worker, now_ms)
 
+    def renew_withheld_leases(self) -> None:
+        """Polls the workers whose lease may be renewed again."""
+        now_ms = self._clock.now_ms()
+        for name in list(self._unrenewed):
+            worker = self.workers.get(name)
+            if worker is None:
+                self._unrenewed.discard(name)
+            elif self._lease_ms(worker, now_ms) > 0:
+                worker.open_poll = 0
+                worker.next_poll_ms = now_ms
+                self.poll_if_due(worker)
+
     def _ensure_short_poll(self, worker: Worker, now_ms: float) -> None:
         """Replaces a long poll of an idle worker, to get ends in time."""
         if worker.open_poll and worker.poll_wait_ms <= POLL_WAIT_MS:
@@ -293,16 +310,33 @@
             )
         )
 
+    def _lease_ms(self, worker: Worker, now_ms: float) -> float:
+        """Returns for how long a worker's lease may be renewed from now on.
+
+        A lease holds for all runs on a worker, so it must not outlast any of
+        their limits.
+        """
+        limit_ms = min(
+            map(self._listener.lease_limit_ms, worker.runs.values()),
+            default=math.inf,
+        )
+        return min(self.timing.lease_ms, limit_ms - now_ms)
+
     def _send_poll(self, worker: Worker, wait_ms: int) -> None:
         now_ms = self._clock.now_ms()
-        lease_ms = self.timing.lease_ms
+        lease_ms = self._lease_ms(worker, now_ms)
         until_ms: float | None = None
         if worker.is_reachable:
             self._listener.before_renewal()
-        if worker.is_reachable and not worker.is_lease_withheld:
+        is_renewed = not worker.is_lease_withheld and lease_ms > 0
+        if worker.is_reachable and is_renewed:
             until_ms = worker.lease_until(now_ms, lease_ms)
         if until_ms is not None:
             worker.on_lease_renewed(now_ms, lease_ms)
+        if lease_ms > 0:
+            self._unrenewed.discard(worker.name)
+        else:
+            self._unrenewed.add(worker.name)
         worker.last_poll += 1
         self.actions.append(
             PollWorker(
--- a/packages/pool/src/clayfield/pool/run_ends.py
+++ b/packages/pool/src/clayfield/pool/run_ends.py
@@ -63,6 +63,13 @@
     def on_fenced(self, worker: Worker) -> None:
         """Handles a worker that has accepted a higher fencing token."""
 
+    @abc.abstractmethod
+    def lease_limit_ms(self, run: Run) -> float:
+        """Returns the time to which a lease may be renewed beside a run.
+
+        In ms; infinite if there is no limit.
+        """
+
     @abc.abstractmethod
     def before_renewal(self) -> None:
         """Withholds the leases that must not be renewed any more.
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from clayfield.pool.entry_sessions import EntrySession
 from clayfield.wire.jobs import Job, JobState, Step
 
 # A run is overdue, so its worker is polled at once, after the expected time
@@ -236,6 +237,11 @@
             return False
         return now_ms - self.confirmed_ms > usual_ms * factor + margin_ms
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the run is being stopped because its job is paused."""
+        return self.task is not None and self.task.job.is_paused
+
     @property
     def is_inherited(self) -> bool:
         """Whether the run was started by an earlier holder and is unclaimed."""
@@ -251,6 +257,10 @@
         job: the job as submitted.
         entries: the entry nodes that wait for its end, with the number of the
             latest submission of each.
+        sessions: the session of each of these entry nodes; none for a kept
+            job.
+        is_paused: whether its tasks are not run, as no entry node is known to
+            wait for it.
         arrived_ms: time when it arrived at its first entry node.
         first_run: number of the first run of each task.
         due_iterations: number of iterations that have come due.
@@ -280,6 +290,7 @@
         "forecast_ms",
         "is_ended",
         "is_late",
+        "is_paused",
         "is_started",
         "is_placeable",
         "is_stored",
@@ -287,6 +298,7 @@
         "late_at_ms",
         "longest_runs_ms",
         "pending_state",
+        "sessions",
         "used_workers",
         "was_sent_elsewhere",
         "due_iterations",
@@ -305,6 +317,8 @@
         """
         self.job = job
         self.entries: dict[str, int] = {}
+        self.sessions: dict[str, EntrySession] = {}
+        self.is_paused = False
         self.arrived_ms = arrived_ms
         self.first_run = first_run
         self.late_at_ms = math.inf
@@ -350,14 +364,39 @@
         """Time when the caller stops waiting."""
         return self.arrived_ms + self.job.timeout_ms
 
-    def add_entry(self, entry: str, number: int) -> None:
+    @property
+    def confirmed_ms(self) -> float:
+        """Time when an entry node was last known to wait for the job.
+
+        Infinite for a job that runs on without one.
+        """
+        return max(
+            (session.confirmed_ms for session in self.sessions.values()),
+            default=math.inf,
+        )
+
+    @property
+    def silent_since_ms(self) -> float:
+        """Time of the latest sign of an entry node that waits for the job."""
+        return max(
+            (session.silent_since_ms for session in self.sessions.values()),
+            default=math.inf,
+        )
+
+    def add_entry(
+        self, entry: str, number: int, session: EntrySession | None = None
+    ) -> None:
         """Adds an entry node that waits for the end of the job.
 
         Args:
             entry: the entry node.
             number: number of its submission.
+            session: the session in which it was sent; None for a kept job.
         """
         self.entries[entry] = max(number, self.entries.get(entry, 0))
+        former = self.sessions.get(entry)
+        if session and (former is None or former.number <= session.number):
+            self.sessions[entry] = session
 
     def note_run(self, step: int, took_ms: float) -> None:
         """Records the duration of a successful run.
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -6,10 +6,9 @@
 
 from clayfield.base.events import Event, emit
 from clayfield.pool.tasks import Run, TaskId
+from clayfield.pool.timing import MAX_CLOCK_DRIFT
 from clayfield.wire.jobs import Step, WorkerInfo, WorkerState
 
-# Greatest relative drift of a worker's clock against the holder's.
-MAX_CLOCK_DRIFT = 0.02
 # Allowance for the transit of a command that renews a lease.
 MAX_TRANSIT_MS = 60.0
 # Weight of a new sample in the running mean of a worker's speed.
@@ -340,5 +339,8 @@
             and not self.is_lease_withheld
             and now_ms >= self._suspended_until_ms
             and self.has_known_usage
-            and not any(run.is_hung(now_ms) for run in self.runs.values())
+            and not any(
+                run.is_hung(now_ms) or run.is_paused
+                for run in self.runs.values()
+            )
         )
--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -415,7 +415,7 @@
         now_ms = self.clock_ms
         until_ms = min(until_ms, now_ms + LEASE_MS)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
-        remaining_ms = self._lease_until_ms - now_ms
+        remaining_ms = max(0.0, self._lease_until_ms - now_ms)
         self._site.call_later(remaining_ms, self._expire_lease)
 
     def _expire_lease(self) -> None:
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -276,9 +276,22 @@
         self.entries[node].callers.cancel(key, self._add_request(key))
         self._run_actions(node)
 
-    def partition(self, hall: str) -> None:
-        """Partitions a hall from all others."""
+    def partition(self, hall: str, detected_after_ms: float = 0.0) -> None:
+        """Partitions a hall from all others.
+
+        Args:
+            hall: the hall.
+            detected_after_ms: time until the nodes treat their connections
+                across the partition as lost, in ms.
+        """
         self._partitioned.add(hall)
+        if detected_after_ms:
+            self.call_later(detected_after_ms, self._disconnect_partitioned)
+        else:
+            self._disconnect_partitioned()
+
+    def _disconnect_partitioned(self) -> None:
+        """Closes the connections across every present partition."""
         for entry in self.entries.values():
             for other in self.entries.values():
                 if self._is_partitioned(entry.hall, other.hall):
@@ -366,10 +379,15 @@
         self._run_actions(node)
 
     def kill(self, node: str) -> None:
-        """Ends the process of an entry node."""
+        """Ends the process of an entry node.
+
+        Nodes that are partitioned from it do not notice.
+        """
         self._dead.add(node)
+        hall = self.entries[node].hall
         for other in self.entries.values():
-            other.on_disconnected(node)
+            if not self._is_partitioned(other.hall, hall):
+                other.on_disconnected(node)
 
     def freeze(self, node: str, duration_ms: float) -> None:
         """Suspends the process of an entry node for a time.
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -129,6 +129,10 @@
         number: the sender's number of the submission. It is the same when the
             job is sent to the same holder again under the same grant, and
             rises otherwise.
+        session: number of the sender's session with the receiver; 0 if the
+            sender does not reply to probes.
+        probed_ms: `SessionProbe.sent_ms` of the latest probe that the sender
+            has replied to in this session, 0 for none.
     """
 
     job: Job
@@ -136,6 +140,30 @@
     epoch: int
     was_sent: bool = False
     number: int = 0
+    session: int = 0
+    probed_ms: float = 0.0
+
+
+class SessionProbe(Message, frozen=True, tag=True):
+    """Asks an entry node whether it still waits for the jobs it has sent.
+
+    Attributes:
+        sent_ms: time of sending, on the sender's clock.
+    """
+
+    sent_ms: float
+
+
+class SessionReply(Message, frozen=True, tag=True):
+    """Answers `SessionProbe`; confirms the jobs sent in a session.
+
+    Attributes:
+        session: number of the session that the sender is in.
+        probed_ms: time of the probe, echoed.
+    """
+
+    session: int
+    probed_ms: float
 
 
 class CancelJob(Message, frozen=True, tag=True):
@@ -230,6 +258,8 @@
     | WorkerLeft
     | EntryStatus
     | SubmitJob
+    | SessionProbe
+    | SessionReply
     | CancelJob
     | CancelReply
     | JobEnded
--- /dev/null
+++ b/tests/test_resubmission.py
@@ -0,0 +1,146 @@
+"""Tests of callers that submit a job again after they lost their entry node.
+
+A caller whose connection breaks waits for `RESUBMIT_MS` before it submits the
+same job again, at any entry node that it can reach.
+"""
+
+import msgspec
+import pytest
+
+from clayfield.pool import PoolTiming
+from clayfield.testbed.pool_site import (
+    DEFAULT_STEP,
+    HOLDER,
+    PoolSite,
+    make_granted_site,
+)
+from clayfield.wire.jobs import Verdict
+
+RESUBMIT_MS = PoolTiming().resubmit_ms
+# Time after which nodes treat a silent connection as lost.
+PEER_TIMEOUT_MS = 1100.0
+LONG_STEP = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
+
+
+def _make_site(task_ms: float = 4000.0, seed: int = 1) -> PoolSite:
+    return make_granted_site(seed=seed, task_ms=task_ms, settle_ms=200)
+
+
+def _submit(site: PoolSite, node: str, count: int = 2) -> None:
+    site.submit(node, "job", count=count, template=LONG_STEP)
+
+
+def _lose_entry(
+    site: PoolSite, hall: str, cut_ms: float, detected_after_ms: float
+) -> None:
+    """Kills an entry node and cuts its hall off, then waits to resubmit.
+
+    Args:
+        site: the site.
+        hall: the hall.
+        cut_ms: time from the kill to the cut, in ms; negative if the hall is
+            cut off first.
+        detected_after_ms: see `PoolSite.partition`.
+    """
+    if cut_ms < 0:
+        site.partition(hall, detected_after_ms)
+        site.run(-cut_ms)
+    site.kill(f"{hall}-1/1")
+    if cut_ms >= 0:
+        site.run(cut_ms)
+        site.partition(hall, detected_after_ms)
+    site.run(RESUBMIT_MS - max(0.0, cut_ms))
+
+
+@pytest.mark.parametrize("hall", ["b", "c"])
+@pytest.mark.parametrize("cut_ms", [-900, -300, 0, 300, 900, 1290])
+@pytest.mark.parametrize("detected_after_ms", [0, PEER_TIMEOUT_MS])
+@pytest.mark.parametrize("late_ms", [0, 400])
+def test_resubmitted_job_runs_once_when_its_entry_node_is_lost_behind_a_cut(
+    hall: str, cut_ms: float, detected_after_ms: float, late_ms: float
+):
+    site = _make_site()
+    _submit(site, f"{hall}-1/1")
+    site.run(150)
+    _lose_entry(site, hall, cut_ms, detected_after_ms)
+    site.run(late_ms)
+    _submit(site, f"{hall}-0/1")
+    _submit(site, f"{hall}-0/1")
+    site.run(5000)
+    assert site.overlapping_runs() == []
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_resubmitted_jobs_run_once_on_busy_workers(seed: int):
+    site = _make_site(seed=seed)
+    for number in range(8):
+        node = ("a-1/1", "b-1/1", "c-0/1", "c-1/1")[number % 4]
+        site.submit(node, f"job-{number}", count=1, template=LONG_STEP)
+    site.run(site.rng.uniform(20, 400))
+    _lose_entry(site, "c", site.rng.uniform(-1000, 1200), PEER_TIMEOUT_MS)
+    for number in (3, 7):
+        site.submit("c-0/1", f"job-{number}", count=1, template=LONG_STEP)
+    site.run(6000)
+    assert site.overlapping_runs() == []
+
+
+def test_runs_end_before_the_resubmission_when_the_holder_freezes_meanwhile():
+    site = _make_site()
+    _submit(site, "c-1/1")
+    site.run(150)
+    lost_ms = site.clock.now_ms()
+    site.kill("c-1/1")
+    site.partition("c")
+    site.run(900)
+    site.freeze(HOLDER, 3000)
+    site.run(RESUBMIT_MS - 900)
+    assert [run for run in site.runs if run.end_ms is None] == []
+    assert all(run.end_ms < lost_ms + RESUBMIT_MS for run in site.runs)
+
+
+def test_holder_starts_no_job_of_a_lost_entry_node_when_it_thaws():
+    site = _make_site()
+    site.freeze(HOLDER, 3000)
+    _submit(site, "c-1/1")
+    site.run(50)
+    site.kill("c-1/1")
+    site.partition("c")
+    site.run(RESUBMIT_MS)
+    _submit(site, "c-0/1")
+    site.run(5000)
+    assert site.overlapping_runs() == []
+
+
+def test_replaced_holder_behind_a_cut_ends_the_jobs_of_other_halls():
+    site = _make_site()
+    _submit(site, "b-1/1", count=8)
+    site.run(150)
+    site.partition("a", PEER_TIMEOUT_MS)
+    site.kill("b-1/1")
+    site.run(RESUBMIT_MS)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(20)
+    _submit(site, "b-0/1", count=8)
+    site.run(6000)
+    assert site.overlapping_runs() == []
+
+
+def test_paused_job_continues_when_its_entry_node_replies_again():
+    site = _make_site(task_ms=500.0)
+    _submit(site, "c-1/1")
+    site.run(100)
+    site.freeze("c-1/1", 1500)
+    site.run(4000)
+    assert site.overlapping_runs() == []
+    assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+
+
+def test_jobs_run_on_while_their_entry_nodes_are_connected():
+    site = _make_site(task_ms=3000.0)
+    for hall in ("a", "b", "c"):
+        site.submit(f"{hall}-1/1", f"job-{hall}", template=LONG_STEP)
+    site.run(4000)
+    assert len(site.runs) == 6
+    assert {ended.verdict for _, ended in site.outcomes.values()} == {
+        Verdict.COMPLETED
+    }
