Wait for the runs of a job that another scheduler had meanwhile

Callers saw: after a hall that was cut off had rejoined, a job that its caller had submitted again there ran twice at the same time: on the workers of the hall, started by the standby, and elsewhere, started by the holder, which still had the job of the lost entry node.

Cause: a job that is sent after another scheduler had it waits until every worker has accepted a poll, and then claims the runs that are listed. The holder did this only for a job that it opened. One that it had kept open was started at once, in the same millisecond as it was sent again.

Change: a copy that another scheduler may have started puts an open job back among those whose runs are to be determined. It is not abandoned after 1.2 s while a run of it goes on here.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -199,7 +199,9 @@
         """Adds an entry node that waits for a job that is open."""
         is_copy = open_job.entries.get(entry) == submit.number
         if submit.was_sent and not is_copy:
+            # Another scheduler may have run it since it was opened here.
             open_job.was_sent_elsewhere = True
+            self._await_runs(open_job)
         session = self._sessions.on_submit(entry, submit)
         open_job.add_entry(entry, submit.number, session)
 
@@ -471,7 +473,8 @@
         """Assigns inherited runs to jobs that were sent to an earlier holder.
 
         Each job waits until every worker was polled after the job arrived, and
-        is aborted if that takes longer than `SYNC_TIMEOUT_MS`.
+        is aborted if that takes longer than `SYNC_TIMEOUT_MS`, unless a task
+        of it has a run here.
         """
         if not self._unresolved:
             return
@@ -482,7 +485,9 @@
             if self.fleet.is_synced_since(since_ms):
                 del self._unresolved[open_job.job.key]
                 self._resolve(open_job, now_ms - since_ms)
-            elif now_ms - since_ms >= SYNC_TIMEOUT_MS:
+            elif now_ms - since_ms < SYNC_TIMEOUT_MS or open_job.has_runs:
+                continue
+            else:
                 self._abort(open_job, Reason.HOLDER_LOST)
 
     def _resolve(self, open_job: OpenJob, waited_ms: float) -> None:
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -436,6 +436,11 @@
         """Returns all tasks of the job."""
         return [task for tasks in self.tasks for task in tasks]
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether any task of the job has a present run."""
+        return any(task.run is not None for task in self.all_tasks())
+
     def is_stage_done(self, stage: int) -> bool:
         """Returns whether all tasks of a stage are done."""
         return all(t.state is TaskState.DONE for t in self.tasks[stage])
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -11,6 +11,7 @@
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HOLDER,
+    STANDBYS,
     PoolSite,
     make_granted_site,
 )
@@ -125,6 +126,26 @@
     assert site.overlapping_runs() == []
 
 
+@pytest.mark.parametrize("cut_ms", [1600, 2500, 3500])
+@pytest.mark.parametrize("detected_after_ms", [0, PEER_TIMEOUT_MS])
+@pytest.mark.parametrize("grant_after_ms", [0, 300])
+def test_holder_starts_no_job_that_the_standby_runs_when_the_hall_rejoins(
+    cut_ms: float, detected_after_ms: float, grant_after_ms: float
+):
+    site = _make_site(task_ms=3000.0)
+    _submit(site, "c-1/1")
+    site.run(150)
+    _lose_entry(site, "c", 0, detected_after_ms)
+    _submit(site, "c-0/1")
+    site.run(cut_ms - RESUBMIT_MS)
+    site.heal("c")
+    site.run(grant_after_ms)
+    site.grant(HOLDER, STANDBYS)
+    site.run(6000)
+    assert site.overlapping_runs() == []
+    assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+
+
 def test_paused_job_continues_when_its_entry_node_replies_again():
     site = _make_site(task_ms=500.0)
     _submit(site, "c-1/1")
