Renew no lease for the run of an unknown job after a change of holder

Callers saw: a job of a lost entry node could run twice although the holder stops such runs in time, if the holder was lost as well. The next holder found the run on its worker, renewed the worker's lease at each poll, and stopped the run only 0.8 s after it had found it. By then the caller had submitted the job again in a hall that was cut off. The same befell the callers of the lost holder itself.

Cause: a run that a worker lists and whose job is not known was taken for one that will be claimed, and its lease was prolonged meanwhile.

Change: a worker's lease is not renewed while it lists a run of an unknown job, so the run ends within the limit of the lost holder. So that the other runs of that worker do not lapse as well, such a run is stopped 250 instead of 800 ms after it was found; 800 ms still hold while the kept jobs are not loaded.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -45,6 +45,9 @@
 
 # How long a job sent to an earlier holder waits until every worker was polled.
 SYNC_TIMEOUT_MS = 1200.0
+# Time after which an inherited run is stopped if its job has not arrived. Until
+# then its worker's lease, which holds for other runs as well, is not renewed.
+UNKNOWN_JOB_TIMEOUT_MS = 250.0
 # How long results are stored for jobs that are submitted again.
 RESULT_RETENTION_MS = 20_000.0
 # Placement stops after this number of consecutive jobs of which no task fits;
@@ -381,6 +384,7 @@
         self.fleet.tick()
         self._resolve_inherited(now_ms)
         self._claim_inherited()
+        self._stop_unknown_runs(now_ms)
         if self.kept_jobs:
             self.kept_jobs.tick()
         for open_job in list(self._jobs.by_key.values()):
@@ -439,11 +443,17 @@
         )
 
     def lease_limit_ms(self, run: Run) -> float:
-        """Returns the time to which a lease may be renewed beside a run."""
-        if run.task is None:
-            return math.inf
-        confirmed_ms = run.task.job.confirmed_ms
-        return confirmed_ms + self._timing.run_limit_ms
+        """Returns the time to which a lease may be renewed beside a run.
+
+        An earlier holder may have started the run for an entry node that is
+        lost, so the lease is not renewed until the job is known here.
+        """
+        open_job = self._jobs.by_key.get(run.task_id.job)
+        if run.task is not None:
+            open_job = run.task.job
+        if open_job is None:
+            return -math.inf
+        return open_job.confirmed_ms + self._timing.run_limit_ms
 
     def _move_hung_runs(self, now_ms: float) -> None:
         """Stops hung and very slow runs, at most once for each task.
@@ -538,6 +548,17 @@
                 self._stop_all(open_job.runs_of_partial_gangs())
         return set()
 
+    def _stop_unknown_runs(self, now_ms: float) -> None:
+        """Stops the inherited runs of jobs that no entry node has sent."""
+        if self.kept_jobs and not self.kept_jobs.store.is_loaded:
+            return
+        for run in list(self.fleet.inherited.values()):
+            is_running = run.state is RunState.RUNNING
+            is_known = run.task_id.job in self._jobs.by_key
+            age_ms = now_ms - run.commanded_ms
+            if is_running and not is_known and age_ms > UNKNOWN_JOB_TIMEOUT_MS:
+                self.fleet.stop(run)
+
     def _claim_runs(self, open_job: OpenJob) -> int:
         """Assigns inherited runs to a job's waiting tasks; returns how many."""
         claimed = 0
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from clayfield.pool import PoolTiming
+from clayfield.pool import EndKind, PoolTiming
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HOLDER,
@@ -146,6 +146,44 @@
     assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
 
 
+@pytest.mark.parametrize("entry", ["c-1/1", HOLDER])
+@pytest.mark.parametrize("holder_lost_ms", [0, 200, 500, 800])
+@pytest.mark.parametrize("grant_after_ms", [160, 400, 700])
+def test_next_holder_prolongs_no_run_of_a_lost_entry_node(
+    entry: str, holder_lost_ms: float, grant_after_ms: float
+):
+    site = _make_site()
+    _submit(site, entry)
+    site.run(150)
+    site.partition("c")
+    if entry == HOLDER:
+        site.run(holder_lost_ms)
+    lost_ms = site.clock.now_ms()
+    site.kill(entry)
+    if entry != HOLDER:
+        site.run(holder_lost_ms)
+        site.kill(HOLDER)
+    site.run(grant_after_ms)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(max(0.0, lost_ms + RESUBMIT_MS - site.clock.now_ms()))
+    _submit(site, "c-0/1")
+    site.run(6000)
+    assert site.overlapping_runs() == []
+
+
+def test_next_holder_keeps_the_runs_beside_one_of_a_lost_entry_node():
+    site = make_granted_site(workers=1, task_ms=2000.0, settle_ms=4000)
+    _submit(site, HOLDER, count=3)
+    site.submit("b-0/1", "other", count=3, template=LONG_STEP)
+    site.run(300)
+    site.kill(HOLDER)
+    site.run(160)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(6000)
+    others = [run for run in site.runs if run.task_id.job == "other"]
+    assert {run.kind for run in others} == {EndKind.DONE}
+
+
 def test_paused_job_continues_when_its_entry_node_replies_again():
     site = _make_site(task_ms=500.0)
     _submit(site, "c-1/1")
