Log the resumption of a paused job that the holder's own caller submits

A paused job that was submitted again at the holder itself raised OverflowError in the holder's tick.

Cause: a session of the holder's own node is confirmed for all time, so the silence that JOB_RESUMED reports was negative infinite.

Change: no silence is reported as 0 ms. Test: the row of the holder of test_paused_job_continues_when_its_caller_submits_it_again failed before; the other two rows passed.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -437,7 +437,7 @@
             event,
             job=open_job.job.key,
             entries=sorted(open_job.entries),
-            silent_ms=round(silent_ms),
+            silent_ms=round(max(0.0, silent_ms)),
             runs=len(runs),
             fence=self.fleet.fence,
         )
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -194,6 +194,19 @@
     assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
 
 
+@pytest.mark.parametrize("node", [HOLDER, "a-1/1", "c-0/1"])
+def test_paused_job_continues_when_its_caller_submits_it_again(node: str):
+    site = _make_site(task_ms=2000.0)
+    _submit(site, "c-1/1")
+    site.run(150)
+    site.kill("c-1/1")
+    site.run(RESUBMIT_MS)
+    _submit(site, node)
+    site.run(3000)
+    assert site.overlapping_runs() == []
+    assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+
+
 def test_jobs_run_on_while_their_entry_nodes_are_connected():
     site = _make_site(task_ms=3000.0)
     for hall in ("a", "b", "c"):
