Hand a job over to the standby once the holder has ended its runs

Callers saw: jobs of a hall that is cut off which the holder had, and those sent to it before its entry node noticed the cut, got no answer until the hall had rejoined, and 504 if that took longer than their timeout.

Cause: a job that was sent to the holder was never given to the standby, since the holder might run it.

The standby polls its workers before it starts them, as for any job that another node had. Kept jobs still wait.

--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import math
 
 from clayfield.base import Clock
 from clayfield.pool.actions import (
@@ -14,6 +15,7 @@
     ReplyToCancel,
     ReplyToStateRequest,
 )
+from clayfield.pool.timing import PoolTiming
 from clayfield.wire.cluster import (
     CancelJob,
     CancelReply,
@@ -79,6 +81,7 @@
         arrived_ms: time of its arrival, in ms.
         sent_to: the holder that has the job, "" if it is to be sent.
         was_sent: whether it was ever sent to a holder.
+        receivers: the holders that it was sent to.
         number: number of the latest submission, 0 before the first.
         grant: the holder and the epoch of the latest submission.
     """
@@ -88,6 +91,7 @@
         "grant",
         "job",
         "number",
+        "receivers",
         "sent_to",
         "request_ids",
         "was_sent",
@@ -99,6 +103,7 @@
         self.arrived_ms = arrived_ms
         self.sent_to = ""
         self.was_sent = False
+        self.receivers: set[str] = set()
         self.number = 0
         self.grant = ("", 0)
 
@@ -130,9 +135,10 @@
         actions: answers to callers; the entry node clears it.
     """
 
-    def __init__(self, clock: Clock, link: HolderLink):
+    def __init__(self, clock: Clock, link: HolderLink, timing: PoolTiming):
         self.actions: list[EntryAction] = []
         self._clock = clock
+        self._timing = timing
         self._link = link
         self._pending: dict[str, _Pending] = {}
         self._requests: dict[int, _Request] = {}
@@ -140,6 +146,9 @@
         self._last_submission = 0
         self._session = 1
         self._probed_ms = 0.0
+        self._replied_ms = -math.inf
+        # The nodes that stop the runs of a job unless its session goes on.
+        self._probing_nodes: set[str] = set()
 
     @property
     def open_jobs(self) -> int:
@@ -251,8 +260,8 @@
         link = self._link
         if pending.sent_to == link.holder or not link.is_holder_reachable:
             return
-        needs_holder = pending.was_sent or pending.job.is_kept
-        if needs_holder and link.uses_standby:
+        may_run = pending.was_sent and not self._is_released(pending)
+        if link.uses_standby and (may_run or pending.job.is_kept):
             # The job may run on workers that the standby can't reach, or it
             # is kept, which takes a majority of the control nodes. It is sent
             # to the holder once the partition is over.
@@ -274,9 +283,22 @@
         if pending.was_sent:
             link.send_workers()
         pending.sent_to = link.holder
+        pending.receivers.add(link.holder)
         pending.was_sent = True
         link.send_to_holder(submit)
 
+    def _is_released(self, pending: _Pending) -> bool:
+        """Returns whether the holders that had a job have ended its runs.
+
+        That is so some time after the last reply to a probe, as for a job
+        that its caller may submit again.
+        """
+        silent_ms = self._clock.now_ms() - self._replied_ms
+        return (
+            silent_ms >= self._timing.resubmit_ms
+            and pending.receivers <= self._probing_nodes
+        )
+
     def on_probe(self, node: str, probe: SessionProbe) -> None:
         """Confirms to the holder that jobs still wait here.
 
@@ -286,6 +308,8 @@
         if node != self._link.holder:
             return
         self._probed_ms = probe.sent_ms
+        self._replied_ms = self._clock.now_ms()
+        self._probing_nodes.add(node)
         reply = SessionReply(self._session, probe.sent_ms)
         self._link.send_to_holder(reply)
 
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -69,7 +69,7 @@
         self.node = node
         self.hall = hall
         self.routes = Routes()
-        self.callers = PendingCallers(clock, self)
+        self.callers = PendingCallers(clock, self, timing)
         self.dispatcher: Dispatcher | None = None
         self.is_stopping = False
         self.rejects_jobs = False
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -207,6 +207,40 @@
     assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
 
 
+@pytest.mark.parametrize("detected_after_ms", [0, PEER_TIMEOUT_MS])
+@pytest.mark.parametrize("sent_ms", [-200, 0, 400, 1000])
+def test_standby_runs_the_jobs_that_the_holder_had_or_never_got(
+    sent_ms: float, detected_after_ms: float
+):
+    site = _make_site(task_ms=600.0)
+    site.submit("c-1/1", "first", template=LONG_STEP)
+    site.run(800)
+    if sent_ms < 0:
+        _submit(site, "c-1/1")
+        site.run(-sent_ms)
+    cut_ms = site.clock.now_ms()
+    site.partition("c", detected_after_ms)
+    if sent_ms >= 0:
+        site.run(sent_ms)
+        _submit(site, "c-1/1")
+    site.run(6000)
+    ended_ms, ended = site.outcomes["job"]
+    assert ended.verdict is Verdict.COMPLETED
+    assert ended_ms < cut_ms + 2 * RESUBMIT_MS + 600.0
+    assert site.overlapping_runs() == []
+
+
+def test_standby_gets_no_job_whose_holder_sends_no_probes():
+    site = _make_site(task_ms=600.0)
+    callers = site.entries["c-1/1"].callers
+    callers.on_probe = lambda node, probe: None
+    _submit(site, "c-1/1")
+    site.run(50)
+    site.partition("c")
+    site.run(2 * RESUBMIT_MS)
+    assert site.entries["c-0/1"].dispatcher.open_jobs == 0
+
+
 def test_jobs_run_on_while_their_entry_nodes_are_connected():
     site = _make_site(task_ms=3000.0)
     for hall in ("a", "b", "c"):
