Remove a leaving worker only once its runs have ended

Callers saw: when a worker announced by DELETE that it leaves and its process went on, its tasks were started elsewhere while it still ran them. A kept job's task ran twice as well.

Cause: the announcement was taken for the end of the process, and the runs were given up at once.

Evidence: on the manual clock a worker that leaves after 200 ms of a 600 ms task runs it for another 400 ms beside the second run; for kept jobs, too.

Change: from the announcement on the worker gets neither tasks nor a renewal of its lease. It is removed once a poll shows that it runs nothing, once another incarnation answers at its address, or once its lease has lapsed. If no poll of it was accepted yet, its runs are unknown, and the lease decides. A worker that runs nothing is removed at once, as before.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -208,7 +208,11 @@
         return worker
 
     def on_worker_left(self, name: str, born_ms: int) -> None:
-        """Removes a worker that has left, unless it has started again since.
+        """Handles that a worker leaves, unless it has started again since.
+
+        What runs on it may go on for a while, so it is removed only when it
+        runs nothing any more or when its lease, which is not renewed, has
+        lapsed.
 
         Args:
             name: name of the worker.
@@ -216,8 +220,15 @@
                 1970; 0 for any.
         """
         worker = self.workers.get(name)
-        if worker and not (born_ms and worker.info.born_ms > born_ms):
-            self.on_worker_removed(name)
+        if worker is None or (born_ms and worker.info.born_ms > born_ms):
+            return
+        worker.is_leaving = True
+        self._remove_if_empty(worker)
+
+    def _remove_if_empty(self, worker: Worker) -> None:
+        """Removes a leaving worker that certainly runs nothing."""
+        if worker.is_leaving and worker.is_synced and not worker.runs:
+            self.on_worker_removed(worker.name)
 
     def on_worker_removed(self, name: str) -> None:
         """Removes a worker whose incarnation has ended; its runs are lost."""
@@ -316,6 +327,8 @@
         A lease holds for all runs on a worker, so it must not outlast any of
         their limits.
         """
+        if worker.is_leaving:
+            return 0.0
         limit_ms = min(
             map(self._listener.lease_limit_ms, worker.runs.values()),
             default=math.inf,
@@ -501,7 +514,9 @@
         if fence == self.fence:
             worker.is_synced = True
             worker.synced_ms = max(worker.synced_ms, sent_ms)
-        self.poll_if_due(worker)
+        self._remove_if_empty(worker)
+        if not worker.is_removed:
+            self.poll_if_due(worker)
 
     def _on_fence_accepted(
         self, worker: Worker, fence: int, now_ms: float
@@ -761,6 +776,9 @@
                 del self._recorded_ends[task_id]
 
     def _tick_worker(self, worker: Worker, now_ms: float) -> None:
+        if worker.is_leaving and worker.lease_ends_ms < now_ms:
+            self.on_worker_removed(worker.name)
+            return
         if not worker.is_reachable:
             if self._has_timed_out(worker, now_ms):
                 self.on_worker_removed(worker.name)
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -43,6 +43,8 @@
         is_synced: whether the worker has accepted a poll of this holder,
             and no fencing error since; its runs are then known.
         is_removed: whether this incarnation has certainly ended.
+        is_leaving: whether it has announced that it leaves; it gets no tasks
+            and no lease.
         is_reachable: False after a poll without a reply or a command that
             could not be sent, until a poll succeeds.
         unreachable_since_ms: time since which the worker is unreachable.
@@ -81,6 +83,7 @@
         "info",
         "is_synced",
         "is_removed",
+        "is_leaving",
         "is_lease_withheld",
         "is_reachable",
         "lapsed_ms",
@@ -118,6 +121,7 @@
         self.deferred_end_ms = 0.0
         self.is_synced = False
         self.is_removed = False
+        self.is_leaving = False
         self.is_reachable = True
         self.unreachable_since_ms = now_ms
         self.last_poll = first_poll
@@ -335,6 +339,7 @@
             self.is_synced
             and self.is_reachable
             and not self.is_removed
+            and not self.is_leaving
             and not self.is_draining
             and not self.is_lease_withheld
             and now_ms >= self._suspended_until_ms
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -47,6 +47,7 @@
     JobEnded,
     JobStateReply,
     NodeGreeting,
+    WorkerLeft,
     WorkersPush,
 )
 from clayfield.wire.jobs import (
@@ -348,6 +349,12 @@
         )
         self.send_heartbeat(name)
 
+    def leave(self, name: str) -> None:
+        """Makes a worker announce that it leaves; what runs there goes on."""
+        left = WorkerLeft(name, self.workers[name].info.born_ms)
+        for node in self.entries:
+            self._deliver(node, "control", left)
+
     def send_heartbeat(self, name: str) -> None:
         """Delivers a worker's next heartbeat to every entry node."""
         worker = self.workers[name]
