Keep a job that arrives before its grant for as long as its entry node waits

Callers saw: no answer until their timeout, although the service ran, if the new holder received its grant over 1 s later than their entry node.

Cause: a node defers jobs that name a grant which it has not received, and discarded them after 1 s. Their entry node, which counts them as sent, does not send them to the same holder again.

Change: they are deferred until the entry node stops waiting, and get the age that they have when they are opened; before, it lacked the time for which they were deferred.

Test: the rows of 1.1 s and 2.5 s of test_job_sent_before_its_holder_gets_the_grant_is_run_in_the_end, for kept jobs and others, failed before.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -7,6 +7,8 @@
 partitioned from the holder.
 """
 
+import msgspec
+
 from clayfield.base import Clock
 from clayfield.pool.actions import ConnectNode, EntryAction
 from clayfield.pool.callers import HolderLink, PendingCallers
@@ -43,9 +45,6 @@
 
 # Interval between status messages.
 STATUS_MS = 200.0
-# How long a job waits that arrives before the grant that makes this node the
-# holder.
-EARLY_SUBMIT_MS = 1000.0
 
 
 class EntryNode(HolderLink):
@@ -304,8 +303,10 @@
     def _on_submit(self, node: str, submit: SubmitJob) -> None:
         """Passes a job to the dispatcher, or defers it until the grant.
 
-        A job that was sent under a grant before those of the dispatcher is
-        dropped: its sender forwards it again under a later grant.
+        It is deferred for as long as its entry node waits, which does not send
+        it to this node again. A job that was sent under a grant before those
+        of the dispatcher is dropped: its sender forwards it again under a later
+        grant.
         """
         if self.dispatcher is None or submit.epoch > self.epoch:
             self._early_submits.append((self._clock.now_ms(), node, submit))
@@ -317,11 +318,21 @@
         early_submits = self._early_submits
         self._early_submits = []
         for early_submit in early_submits:
-            _, node, submit = early_submit
+            since_ms, node, submit = early_submit
             if submit.epoch > self.epoch:
                 self._early_submits.append(early_submit)
-            else:
-                self._on_submit(node, submit)
+                continue
+            age_ms = submit.age_ms + self._clock.now_ms() - since_ms
+            submit = msgspec.structs.replace(submit, age_ms=age_ms)
+            self._on_submit(node, submit)
+
+    def _drop_old_early_submits(self, now_ms: float) -> None:
+        """Drops the deferred jobs that no entry node waits for any more."""
+        self._early_submits = [
+            (since_ms, node, submit)
+            for since_ms, node, submit in self._early_submits
+            if submit.age_ms + now_ms - since_ms < submit.job.timeout_ms
+        ]
 
     # Grants and scheduling.
 
@@ -420,11 +431,7 @@
             self.dispatcher.tick()
             self._announce_removed_workers(self.dispatcher)
         self.callers.tick()
-        self._early_submits = [
-            submit
-            for submit in self._early_submits
-            if now_ms - submit[0] < EARLY_SUBMIT_MS
-        ]
+        self._drop_old_early_submits(now_ms)
         if now_ms >= self._next_status_ms:
             self._next_status_ms = now_ms + STATUS_MS
             self._send_status()
