Let a holder go on that missed a grant to itself

Callers saw: no answer until their timeout to jobs that the holder had, and their runs stopped, after the holder had missed one grant to itself.

Cause: a holder that receives grant 3 after grant 1 could not tell whether another node had been the holder in between, and began anew. An entry node that got every grant knew that the holder was the same, and did not send its jobs again. Jobs sent under a grant that the holder missed were dropped as well.

A holder continues, and an entry node sends nothing again, if no other node came in between. A grant without it counts as before, by the preceding epoch.

Test: 3 rows of test_late_grants that run (missed 1 and 3 grants, jobs that are not kept; a job sent under a missed grant) failed before, and all rows of test_grant_names_the_first_of_its_holders_successive_grants, for lack of the field.

--- a/packages/cluster/src/clayfield/cluster/control_state.py
+++ b/packages/cluster/src/clayfield/cluster/control_state.py
@@ -81,6 +81,7 @@
     holder: str
     standbys: dict[str, str]
     jobs: JobStoreSnapshot = msgspec.field(default_factory=JobStoreSnapshot)
+    since_epoch: int = 0
 
 
 _command_decoder = msgspec.msgpack.Decoder(Command)
@@ -134,9 +135,11 @@
     def _set_grant(self, command: SetGrant) -> bool:
         if command.previous_epoch != self.grant.epoch:
             return False
-        self.grant = Grant(
-            command.previous_epoch + 1, command.holder, command.standbys
-        )
+        epoch = command.previous_epoch + 1
+        since_epoch = epoch
+        if command.holder == self.grant.holder:
+            since_epoch = self.grant.since_epoch or self.grant.epoch
+        self.grant = Grant(epoch, command.holder, command.standbys, since_epoch)
         return True
 
     def _set_jobs(self, command: SetJobs) -> bool:
@@ -155,6 +158,7 @@
             grant.holder,
             grant.standbys,
             self.jobs.snapshot(),
+            grant.since_epoch,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -163,5 +167,7 @@
         saved = _snapshot_decoder.decode(data)
         self.version = saved.version
         self.document = saved.document
-        self.grant = Grant(saved.epoch, saved.holder, saved.standbys)
+        self.grant = Grant(
+            saved.epoch, saved.holder, saved.standbys, saved.since_epoch
+        )
         self.jobs.restore(saved.jobs)
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -36,6 +36,7 @@
 from clayfield.wire.cluster import (
     CancelJob,
     CancelReply,
+    Grant,
     JobEnded,
     SessionReply,
     SubmitJob,
@@ -351,15 +352,14 @@
         if self.kept_jobs:
             self.kept_jobs.update_authority()
 
-    def is_next_epoch(self, epoch: int) -> bool:
-        """Returns whether an epoch directly follows this holder's epoch.
+    def is_continued_by(self, grant: Grant) -> bool:
+        """Returns whether no other node was the holder until a later grant.
 
-        If so, no other node was the holder in between. A standby returns
-        False.
+        Args:
+            grant: a grant to this node. A standby returns False.
         """
-        return (
-            self.kept_jobs is not None
-            and self.kept_jobs.store.epoch + 1 == epoch
+        return self.kept_jobs is not None and grant.continues(
+            self.kept_jobs.store.epoch, grant.holder
         )
 
     def renew_grant(self, fence: int, epoch: int) -> None:
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -361,7 +361,7 @@
         self._create_dispatcher()
 
     def _renew_dispatcher(self, dispatcher: Dispatcher) -> bool:
-        """Continues under the current grant, if this node had the last one too.
+        """Continues under the current grant, if no other node came between.
 
         Returns:
             Whether the dispatcher continues; it must be replaced otherwise.
@@ -369,7 +369,9 @@
         fence = self._role.fence
         if dispatcher.fleet.fence == fence:
             return True
-        if not self._is_hall_only and not dispatcher.is_next_epoch(self.epoch):
+        if not self._is_hall_only and not dispatcher.is_continued_by(
+            self.grant
+        ):
             return False
         dispatcher.renew_grant(fence, self.epoch)
         self._process_early_submits()
@@ -395,10 +397,12 @@
                 self.dispatcher.on_worker_heartbeat(info)
         self._broadcast(ENTRY_ROLE, self._scheduled_workers())
         self.callers.mark_unsent(self.node)
-        # A sender that had this node as the holder under the preceding grant,
-        # too, does not forward its jobs again.
-        is_holder = not self._is_hall_only
-        self._min_submit_epoch = self.epoch - 1 if is_holder else self.epoch
+        # A sender that had this node as the holder under an earlier grant, and
+        # no other since, does not forward its jobs again.
+        self._min_submit_epoch = self.epoch
+        if not self._is_hall_only:
+            since_epoch = self.grant.since_epoch or self.epoch
+            self._min_submit_epoch = min(since_epoch, self.epoch - 1)
         self._process_early_submits()
         self.callers.forward_all()
 
--- a/packages/pool/src/clayfield/pool/role.py
+++ b/packages/pool/src/clayfield/pool/role.py
@@ -101,10 +101,8 @@
             Whether jobs continue to be sent to the same node, and it was
             certainly the holder all the time.
         """
-        is_same = (
-            grant.holder == self.grant.holder
-            and grant.epoch == self.grant.epoch + 1
-            and not self.uses_standby
+        is_same = not self.uses_standby and grant.continues(
+            self.grant.epoch, self.grant.holder
         )
         self.grant = grant
         # A grant proves a recent connection to a majority of control nodes.
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -199,7 +199,10 @@
             standbys: name of the standby of each hall.
         """
         self._epoch += 1
-        self._grant = Grant(self._epoch, holder, standbys)
+        since_epoch = self._epoch
+        if holder == self._grant.holder:
+            since_epoch = self._grant.since_epoch
+        self._grant = Grant(self._epoch, holder, standbys, since_epoch)
         self.leader.on_grant(self._grant)
         for node, entry in self.entries.items():
             is_reachable = node not in self.leader.unreachable_from
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -69,11 +69,26 @@
         standbys: by hall, the node that schedules that hall's workers while
             the hall is partitioned from the holder and from the control nodes
             of other halls.
+        since_epoch: the first epoch since which the holder has been the same,
+            0 if unknown.
     """
 
     epoch: int
     holder: str
     standbys: dict[str, str] = {}
+    since_epoch: int = 0
+
+    def continues(self, epoch: int, holder: str) -> bool:
+        """Returns whether a node has been the holder ever since an epoch.
+
+        Args:
+            epoch: the epoch of an earlier grant to the node.
+            holder: the node.
+        """
+        if holder != self.holder:
+            return False
+        first_epoch = self.since_epoch or self.epoch - 1
+        return first_epoch <= epoch
 
 
 class WorkersPush(Message, frozen=True, tag=True):
