Drop a deferred job whose caller has left

Callers saw: capacity taken by a job that nobody waited for, until its timeout, if its caller left before the job's holder had received its grant.

Cause: a node without a grant ignored the message that the caller has left, and later opened the job that it had deferred.

Change: the message drops the deferred job. A request to cancel a job does not, since its caller still waits for an answer.

Test: test_job_cancelled_before_its_holder_gets_the_grant_is_not_run failed before.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -229,8 +229,7 @@
             case SubmitJob():
                 self._on_submit(node, message)
             case CancelJob():
-                if self.dispatcher:
-                    self.dispatcher.on_cancel(node, message)
+                self._on_cancel(node, message)
             case SessionProbe():
                 self.callers.on_probe(node, message)
             case SessionReply():
@@ -313,6 +312,17 @@
         elif submit.epoch >= self._min_submit_epoch:
             self.dispatcher.on_submit(node, submit)
 
+    def _on_cancel(self, node: str, cancel: CancelJob) -> None:
+        """Cancels an open job, or drops a deferred one without callers."""
+        if not cancel.request:
+            self._early_submits = [
+                (since_ms, entry, submit)
+                for since_ms, entry, submit in self._early_submits
+                if (entry, submit.job.key) != (node, cancel.key)
+            ]
+        if self.dispatcher:
+            self.dispatcher.on_cancel(node, cancel)
+
     def _process_early_submits(self) -> None:
         """Processes the deferred jobs whose grant has arrived."""
         early_submits = self._early_submits
--- a/tests/test_late_grants.py
+++ b/tests/test_late_grants.py
@@ -53,6 +53,21 @@
     assert site.find_violations() == []
 
 
+def test_job_cancelled_before_its_holder_gets_the_grant_is_not_run():
+    site = _site_with_ungranted_holder()
+    site.submit("c-1/1", "job")
+    site.run(50)
+    site.entries["c-1/1"].callers.on_caller_disconnected(
+        "job", site._request_count
+    )
+    site._run_actions("c-1/1")
+    site.run(50)
+    site.leader.unreachable_from.clear()
+    site._deliver("b-0/1", "control", site._grant)
+    site.run(2000)
+    assert site.runs == []
+
+
 @pytest.mark.parametrize("missed", [1, 3])
 @pytest.mark.parametrize("is_kept", [False, True])
 def test_holder_that_missed_a_grant_to_itself_keeps_its_jobs(
