Keep a job of which one of several entry nodes has lost its callers

Callers saw: a job that had been submitted again at another entry node was ended as cancelled when the first entry node noticed that its caller had left, for instance after it had been suspended.

Cause: the holder took the message of one entry node that its callers have left for a request to cancel the job.

Change: the message removes that entry node from those that wait. The job is cancelled once none is left. A request to cancel ends it as before.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -236,9 +236,11 @@
         self._send(entry, refused)
 
     def on_cancel(self, entry: str, cancel: CancelJob) -> None:
-        """Handles a request to cancel a job."""
+        """Handles a request to cancel a job, or that its caller has left."""
         open_job = self._jobs.by_key.get(cancel.key)
-        if open_job and not open_job.job.is_kept:
+        if open_job and not cancel.request:
+            self._on_callers_left(open_job, entry)
+        elif open_job and not open_job.job.is_kept:
             self._finish(open_job, Verdict.CANCELLED, Reason.CANCELLED)
             if cancel.request:
                 self._send(entry, CancelReply(cancel.request, True))
@@ -247,6 +249,12 @@
         elif cancel.request:
             self._send(entry, CancelReply(cancel.request, None))
 
+    def _on_callers_left(self, open_job: OpenJob, entry: str) -> None:
+        """Cancels a job that no caller of any entry node waits for now."""
+        open_job.remove_entry(entry)
+        if not open_job.entries and not open_job.job.is_kept:
+            self._finish(open_job, Verdict.CANCELLED, Reason.CANCELLED)
+
     def on_inherited_end(self, row: EndedRun, worker: Worker) -> None:
         """Handles the end of a run that an earlier holder started."""
         if self.kept_jobs:
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -398,6 +398,11 @@
         if session and (former is None or former.number <= session.number):
             self.sessions[entry] = session
 
+    def remove_entry(self, entry: str) -> None:
+        """Removes an entry node that no longer waits for the job."""
+        self.entries.pop(entry, None)
+        self.sessions.pop(entry, None)
+
     def note_run(self, step: int, took_ms: float) -> None:
         """Records the duration of a successful run.
 
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -209,6 +209,11 @@
             if is_reachable and entry.hall not in self._partitioned:
                 self._deliver(node, "control", self._grant)
 
+    def deliver_grant(self, node: str) -> None:
+        """Sends the latest grant to a node that has not received it."""
+        self.leader.unreachable_from.discard(node)
+        self._deliver(node, "control", self._grant)
+
     def submit(
         self,
         node: str,
@@ -219,7 +224,7 @@
         template: Step = DEFAULT_STEP,
         schedule: Schedule | None = None,
         is_advised: bool = False,
-    ) -> None:
+    ) -> int:
         """Submits a job whose steps run one after the other.
 
         Args:
@@ -231,6 +236,9 @@
             template: the properties of every step.
             schedule: times at which the steps run, None for once and at once.
             is_advised: whether its tasks need a ticket of the advisor.
+
+        Returns:
+            The number of the caller's request.
         """
         request_id = self._add_request(key)
         chain = tuple(
@@ -263,6 +271,18 @@
             self.batch_jobs.add(key)
         self.entries[node].submit(job, request_id)
         self._run_actions(node)
+        return request_id
+
+    def hang_up(self, node: str, request_id: int) -> None:
+        """Ends the connection of the caller of a request.
+
+        Args:
+            node: name of the entry node.
+            request_id: the number that `submit` returned.
+        """
+        key = self._keys_by_request[request_id]
+        self.entries[node].callers.on_caller_disconnected(key, request_id)
+        self._run_actions(node)
 
     def _add_request(self, key: str) -> int:
         """Returns the number of a new pending caller request."""
--- a/tests/test_late_grants.py
+++ b/tests/test_late_grants.py
@@ -45,8 +45,7 @@
     site = _site_with_ungranted_holder()
     site.submit("c-1/1", "job", is_kept=is_kept)
     site.run(late_ms)
-    site.leader.unreachable_from.clear()
-    site._deliver("b-0/1", "control", site._grant)
+    site.deliver_grant("b-0/1")
     site.run(4000)
     assert _verdict(site) in (Verdict.COMPLETED, Verdict.ACCEPTED)
     assert len({run.task_id for run in site.runs}) == 2
@@ -55,15 +54,11 @@
 
 def test_job_cancelled_before_its_holder_gets_the_grant_is_not_run():
     site = _site_with_ungranted_holder()
-    site.submit("c-1/1", "job")
+    request_id = site.submit("c-1/1", "job")
     site.run(50)
-    site.entries["c-1/1"].callers.on_caller_disconnected(
-        "job", site._request_count
-    )
-    site._run_actions("c-1/1")
+    site.hang_up("c-1/1", request_id)
     site.run(50)
-    site.leader.unreachable_from.clear()
-    site._deliver("b-0/1", "control", site._grant)
+    site.deliver_grant("b-0/1")
     site.run(2000)
     assert site.runs == []
 
@@ -94,8 +89,7 @@
     for _ in range(2):
         site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
         site.run(50)
-    site.leader.unreachable_from.clear()
-    site._deliver("b-0/1", "control", site._grant)
+    site.deliver_grant("b-0/1")
     site.run(2000)
     assert _verdict(site) is Verdict.COMPLETED
 
