Number the message that a submission's callers have left

Callers saw: a job that was submitted again at the same entry node was ended as cancelled, if the message that its former caller had left was read after it, on a connection that was closed meanwhile.

Cause: CancelJob named the job, not the submission.

Change: it has the number of the submission whose callers have left, and is ignored if the entry node has submitted the job again since. 0, from a node of an earlier version, stands for any.

--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -194,7 +194,7 @@
         pending.request_ids.remove(request_id)
         if not pending.request_ids and not pending.job.is_kept:
             del self._pending[key]
-            self._link.send_to_holder(CancelJob(0, key))
+            self._link.send_to_holder(CancelJob(0, key, pending.number))
 
     def on_job_ended(self, node: str, ended: JobEnded) -> None:
         """Handles the result of a job.
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -239,7 +239,7 @@
         """Handles a request to cancel a job, or that its caller has left."""
         open_job = self._jobs.by_key.get(cancel.key)
         if open_job and not cancel.request:
-            self._on_callers_left(open_job, entry)
+            self._on_callers_left(open_job, entry, cancel)
         elif open_job and not open_job.job.is_kept:
             self._finish(open_job, Verdict.CANCELLED, Reason.CANCELLED)
             if cancel.request:
@@ -249,8 +249,13 @@
         elif cancel.request:
             self._send(entry, CancelReply(cancel.request, None))
 
-    def _on_callers_left(self, open_job: OpenJob, entry: str) -> None:
+    def _on_callers_left(
+        self, open_job: OpenJob, entry: str, cancel: CancelJob
+    ) -> None:
         """Cancels a job that no caller of any entry node waits for now."""
+        if cancel.number and cancel.number < open_job.entries.get(entry, 0):
+            # The entry node has submitted the job again since.
+            return
         open_job.remove_entry(entry)
         if not open_job.entries and not open_job.job.is_kept:
             self._finish(open_job, Verdict.CANCELLED, Reason.CANCELLED)
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -319,6 +319,7 @@
                 (since_ms, entry, submit)
                 for since_ms, entry, submit in self._early_submits
                 if (entry, submit.job.key) != (node, cancel.key)
+                or 0 < cancel.number < submit.number
             ]
         if self.dispatcher:
             self.dispatcher.on_cancel(node, cancel)
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -184,13 +184,18 @@
 class CancelJob(Message, frozen=True, tag=True):
     """Requests that the holder cancel a job; answered by `CancelReply`.
 
+    Without a request it announces that no caller of the sender waits any more.
+
     Attributes:
         request: number of the request, echoed in the reply; 0 for no reply.
         key: key of the job.
+        number: number of the sender's latest submission whose callers have
+            left; 0 for any.
     """
 
     request: int
     key: str
+    number: int = 0
 
 
 class CancelReply(Message, frozen=True, tag="JobCancelled"):
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -32,6 +32,22 @@
     assert len(site.runs) == 2
 
 
+@pytest.mark.parametrize("late_ms", [30, 300])
+def test_message_that_a_caller_has_left_does_not_cancel_a_later_submission(
+    late_ms: float,
+):
+    site = _make_site()
+    request_id = site.submit("c-1/1", "job", template=LONG_STEP)
+    site.run(100)
+    site.delay_messages("c-1/1", late_ms)
+    site.hang_up("c-1/1", request_id)
+    # The next messages take another connection and overtake the last one.
+    site.delay_messages("c-1/1", 1)
+    site.submit("c-1/1", "job", template=LONG_STEP)
+    site.run(3000)
+    assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+
+
 def test_job_is_cancelled_once_the_callers_of_all_entry_nodes_have_left():
     site = _make_site()
     first = site.submit("c-1/1", "job", template=LONG_STEP)
