Start tasks only while a full lease ends before the job's resubmission

Callers saw: a job could still run twice at the same time behind a cut, if it was queued at the cut, was started up to 1 s after it on a worker that had just been given a full lease, and this worker became unreachable.

Cause: the lease of a worker holds for all its runs and can't be shortened. The start and all later renewals were limited to 1.25 s after the last sign of the entry node, but a lease that the worker had before the start could last longer.

Change: tasks are started only within 0.22 s after the last probe that the entry node has answered, resubmit_ms less the longest lease. Probes are sent every 100 instead of 200 ms, so that this delays no task of a live entry node. The least resubmit_ms that clayfield-node accepts follows.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -434,11 +434,6 @@
                 self._on_paused(open_job, silent_ms)
         self._sessions.probe_due(sessions.values())
 
-    def _is_awaited(self, open_job: OpenJob, now_ms: float) -> bool:
-        """Returns whether an entry node surely waits for a job."""
-        silent_ms = now_ms - open_job.confirmed_ms
-        return silent_ms <= self._timing.entry_timeout_ms
-
     def _on_paused(self, open_job: OpenJob, silent_ms: float) -> None:
         """Stops the runs of a job that was paused; logs the change."""
         runs = [task.run for task in open_job.all_tasks() if task.run]
@@ -618,7 +613,8 @@
     def _may_place(self, open_job: OpenJob, now_ms: float) -> bool:
         if open_job.job.is_kept:
             return self.kept_jobs.may_place(open_job)
-        return self._is_awaited(open_job, now_ms)
+        silent_ms = now_ms - open_job.confirmed_ms
+        return silent_ms <= self._timing.start_limit_ms
 
     def _place_job(self, open_job: OpenJob, selector: WorkerSelector) -> bool:
         """Starts the tasks of a job that fit; returns whether one started."""
--- a/packages/pool/src/clayfield/pool/entry_sessions.py
+++ b/packages/pool/src/clayfield/pool/entry_sessions.py
@@ -15,7 +15,7 @@
 from clayfield.wire.cluster import SessionProbe, SessionReply, SubmitJob
 
 # Interval between the probes of an entry node that waits for jobs.
-PROBE_INTERVAL_MS = 200.0
+PROBE_INTERVAL_MS = 100.0
 
 
 class EntrySession:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -26,8 +26,12 @@
 from clayfield.pool.refusals import Refusals
 from clayfield.pool.run_ends import RunOutcome
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
-from clayfield.pool.timing import MAX_CLOCK_DRIFT, PoolTiming
-from clayfield.pool.worker import MAX_TRANSIT_MS, Worker
+from clayfield.pool.timing import (
+    MAX_CLOCK_DRIFT,
+    MAX_TRANSIT_MS,
+    PoolTiming,
+)
+from clayfield.pool.worker import Worker
 from clayfield.wire.cluster import (
     CancelJob,
     CancelReply,
--- a/packages/pool/src/clayfield/pool/timing.py
+++ b/packages/pool/src/clayfield/pool/timing.py
@@ -2,12 +2,16 @@
 
 # Greatest relative drift of a worker's clock against the holder's.
 MAX_CLOCK_DRIFT = 0.02
+# Allowance for the transit of a command that renews a lease.
+MAX_TRANSIT_MS = 60.0
 # Time that remains from the latest end of a run to a job's next submission.
 RUN_LIMIT_MARGIN_MS = 30.0
 # Time for a stop request to be sent, retried and confirmed by a poll.
 STOP_ALLOWANCE_MS = 200.0
 # Shorter times would stop runs whenever a single message is delayed.
 MIN_ENTRY_TIMEOUT_MS = 400.0
+# The same for the starts of tasks; more than the interval of the probes.
+MIN_START_LIMIT_MS = 160.0
 
 
 class PoolTiming:
@@ -51,10 +55,29 @@
         """
         return self.entry_timeout_ms + self._stop_allowance_ms
 
+    @property
+    def start_limit_ms(self) -> float:
+        """Time after the last sign of an entry node to start its tasks.
+
+        A worker may have been given a full lease just before it gets a task,
+        and a lease can't be shortened.
+        """
+        limit_ms = self.resubmit_ms - self._max_lease_ms
+        limit_ms = min(limit_ms, self.entry_timeout_ms)
+        return max(MIN_START_LIMIT_MS, limit_ms)
+
     @property
     def min_resubmit_ms(self) -> float:
         """Shortest `resubmit_ms` before which runs are certain to end."""
-        return MIN_ENTRY_TIMEOUT_MS + self._stop_allowance_ms + self._margin_ms
+        return max(
+            MIN_ENTRY_TIMEOUT_MS + self._stop_allowance_ms + self._margin_ms,
+            MIN_START_LIMIT_MS + self._max_lease_ms,
+        )
+
+    @property
+    def _max_lease_ms(self) -> float:
+        """Longest time for which a worker keeps a lease once it is sent."""
+        return self.lease_ms * (1 + MAX_CLOCK_DRIFT) + MAX_TRANSIT_MS
 
     @property
     def _stop_allowance_ms(self) -> float:
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -6,11 +6,9 @@
 
 from clayfield.base.events import Event, emit
 from clayfield.pool.tasks import Run, TaskId
-from clayfield.pool.timing import MAX_CLOCK_DRIFT
+from clayfield.pool.timing import MAX_CLOCK_DRIFT, MAX_TRANSIT_MS
 from clayfield.wire.jobs import Step, WorkerInfo, WorkerState
 
-# Allowance for the transit of a command that renews a lease.
-MAX_TRANSIT_MS = 60.0
 # Weight of a new sample in the running mean of a worker's speed.
 SPEED_WEIGHT = 0.15
 # The same for a sample below `SLOW_SAMPLE_SHARE` of the mean, which is a
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -99,6 +99,30 @@
     assert all(run.end_ms < lost_ms + RESUBMIT_MS for run in site.runs)
 
 
+@pytest.mark.parametrize("freed_ms", [100, 300, 500, 700, 900])
+def test_job_queued_at_the_cut_starts_on_no_worker_with_a_longer_lease(
+    freed_ms: float,
+):
+    site = _make_site(task_ms=400.0 + freed_ms)
+    short = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=400.0)
+    site.submit("a-1/1", "other", count=12, template=short)
+    site.run(50)
+    _submit(site, "c-1/1")
+    site.run(350)
+    assert {run.task_id.job for run in site.runs} == {"other"}
+    for worker in site.workers.values():
+        worker.task_ms = 4000.0
+    site.kill("c-1/1")
+    site.partition("c")
+    site.run(freed_ms + 20)
+    for name in ("worker-a-0", "worker-a-1", "worker-b-0", "worker-b-1"):
+        site.isolate(name)
+    site.run(RESUBMIT_MS - freed_ms - 20)
+    _submit(site, "c-0/1")
+    site.run(6000)
+    assert site.overlapping_runs() == []
+
+
 def test_holder_starts_no_job_of_a_lost_entry_node_when_it_thaws():
     site = _make_site()
     site.freeze(HOLDER, 3000)
