Take over a later run of a task whose earlier start got no reply

Callers saw: after a hall had rejoined, a task could run twice at the same time: on a worker of the hall, started by the standby, and elsewhere.

Cause: the holder had sent a start to that worker just before the cut, and got no reply. It kept a doubtful run for the task there. When the worker listed the standby's later run, it was ignored, as the holder had a run of this task on this worker already; that one was then found to be unlisted, and the task was started elsewhere.

Change: a listed run with a higher number ends the recorded one, with the new cause superseded, and is inherited. The recorded one is stopped, so that the worker rejects its start if that is still on its way.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -638,6 +638,9 @@
         listed = {(row.task_id, row.number): row for row in rows}
         for row in rows:
             existing = worker.runs.get(row.task_id)
+            if existing and existing.number < row.number:
+                self._on_superseded(worker, existing)
+                existing = None
             if existing is None:
                 self._add_inherited(worker, row)
             elif existing.number == row.number:
@@ -649,6 +652,15 @@
             if (run.task_id, run.number) not in listed:
                 self._on_unlisted(worker, run, sent_ms)
 
+    def _on_superseded(self, worker: Worker, run: Run) -> None:
+        """Ends a run whose worker lists a later run of the same task.
+
+        Another node started the later one. A start of the former may still be
+        on its way, and a stop makes the worker reject it.
+        """
+        self._send_stop(worker, run)
+        self._end_run(worker, run, RunOutcome.LOST, EndCause.SUPERSEDED)
+
     def _confirm_start(self, run: Run) -> None:
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
--- a/packages/pool/src/clayfield/pool/run_ends.py
+++ b/packages/pool/src/clayfield/pool/run_ends.py
@@ -26,7 +26,7 @@
     LISTED: the worker listed its end. UNLISTED: the worker no longer lists
     it. LEASE_LAPSED: the lease of its unreachable worker has lapsed.
     START_REJECTED: the worker rejected the start. WORKER_REMOVED: the worker
-    was removed.
+    was removed. SUPERSEDED: the worker lists a later run of the task.
     """
 
     LISTED = "listed"
@@ -34,6 +34,7 @@
     LEASE_LAPSED = "lease-lapsed"
     START_REJECTED = "start-rejected"
     WORKER_REMOVED = "worker-removed"
+    SUPERSEDED = "superseded"
 
 
 _OUTCOMES = {EndKind.DONE: RunOutcome.DONE, EndKind.FAILED: RunOutcome.FAILED}
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -274,3 +274,28 @@
     assert {ended.verdict for _, ended in site.outcomes.values()} == {
         Verdict.COMPLETED
     }
+
+
+@pytest.mark.parametrize("grant_after_ms", [0, 100, 300])
+def test_run_of_the_standby_is_known_where_a_start_of_the_holder_got_no_reply(
+    grant_after_ms: float,
+):
+    site = _make_site()
+    step = msgspec.structs.replace(LONG_STEP, required_label="rack-b")
+    workers = ("worker-b-0", "worker-b-1")
+    for name in workers:
+        site.isolate(name)
+    site.submit("b-0/1", "job", count=2, template=step)
+    site.run(200)
+    site.partition("b")
+    for name in workers:
+        site.rejoin(name)
+    site.run(2 * RESUBMIT_MS)
+    assert {run.worker for run in site.runs} <= set(workers)
+    assert len(site.runs) == 2
+    site.heal("b")
+    site.run(grant_after_ms)
+    site.grant(HOLDER, STANDBYS)
+    site.run(6000)
+    assert site.overlapping_runs() == []
+    assert len(site.runs) == 2
