Poll a leaving worker once more before it is removed

Callers saw: a task could run twice if the worker that ran it for a hall's standby left, the standby was lost, and the hall rejoined within a second.

Cause: the holder removed a leaving worker at once if it knew of no run on it. What it knew was from before the cut: the standby had started runs since.

Change: the announcement counts as a renewal by another node, and the worker is removed once it has accepted a poll sent after it and lists no run, or once that lease has lapsed.

Test: 3 rows of test_holder_awaits_a_leaving_worker_that_a_standby_used failed before.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -222,12 +222,22 @@
         worker = self.workers.get(name)
         if worker is None or (born_ms and worker.info.born_ms > born_ms):
             return
-        worker.is_leaving = True
-        self._remove_if_empty(worker)
+        if worker.left_ms is None:
+            now_ms = self._clock.now_ms()
+            worker.left_ms = now_ms
+            # Another node may have renewed the lease until now.
+            worker.on_lease_renewed(now_ms, self.timing.lease_ms)
+            self._send_poll(worker, 0)
 
     def _remove_if_empty(self, worker: Worker) -> None:
-        """Removes a leaving worker that certainly runs nothing."""
-        if worker.is_leaving and worker.is_synced and not worker.runs:
+        """Removes a leaving worker that certainly runs nothing.
+
+        Runs that another node has started since the last poll may be unknown
+        here, so it must have accepted one that was sent after it had left.
+        """
+        if worker.left_ms is None or worker.runs:
+            return
+        if worker.is_synced and worker.synced_ms >= worker.left_ms:
             self.on_worker_removed(worker.name)
 
     def on_worker_removed(self, name: str) -> None:
@@ -327,7 +337,7 @@
         A lease holds for all runs on a worker, so it must not outlast any of
         their limits.
         """
-        if worker.is_leaving:
+        if worker.left_ms is not None:
             return 0.0
         limit_ms = min(
             map(self._listener.lease_limit_ms, worker.runs.values()),
@@ -788,7 +798,7 @@
                 del self._recorded_ends[task_id]
 
     def _tick_worker(self, worker: Worker, now_ms: float) -> None:
-        if worker.is_leaving and worker.lease_ends_ms < now_ms:
+        if worker.left_ms is not None and worker.lease_ends_ms < now_ms:
             self.on_worker_removed(worker.name)
             return
         if not worker.is_reachable:
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -41,8 +41,8 @@
         is_synced: whether the worker has accepted a poll of this holder,
             and no fencing error since; its runs are then known.
         is_removed: whether this incarnation has certainly ended.
-        is_leaving: whether it has announced that it leaves; it gets no tasks
-            and no lease.
+        left_ms: time when it announced that it leaves, None before; it gets
+            no tasks and no lease from then on.
         is_reachable: False after a poll without a reply or a command that
             could not be sent, until a poll succeeds.
         unreachable_since_ms: time since which the worker is unreachable.
@@ -81,7 +81,6 @@
         "info",
         "is_synced",
         "is_removed",
-        "is_leaving",
         "is_lease_withheld",
         "is_reachable",
         "lapsed_ms",
@@ -89,6 +88,7 @@
         "last_poll",
         "last_reply_ms",
         "lease_ends_ms",
+        "left_ms",
         "next_poll_ms",
         "synced_ms",
         "open_poll",
@@ -119,7 +119,7 @@
         self.deferred_end_ms = 0.0
         self.is_synced = False
         self.is_removed = False
-        self.is_leaving = False
+        self.left_ms: float | None = None
         self.is_reachable = True
         self.unreachable_since_ms = now_ms
         self.last_poll = first_poll
@@ -337,7 +337,7 @@
             self.is_synced
             and self.is_reachable
             and not self.is_removed
-            and not self.is_leaving
+            and self.left_ms is None
             and not self.is_draining
             and not self.is_lease_withheld
             and now_ms >= self._suspended_until_ms
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,10 +1,12 @@
 """Tests of workers that announce that they leave."""
 
+import msgspec
 import pytest
 
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HOLDER,
+    STANDBYS,
     PoolSite,
     make_granted_site,
 )
@@ -51,6 +53,26 @@
     assert name not in site.entries[HOLDER].dispatcher.fleet.workers
 
 
+@pytest.mark.parametrize("heal_ms", [0, 200, 500])
+def test_holder_awaits_a_leaving_worker_that_a_standby_used(heal_ms: float):
+    site = make_granted_site(workers=1)
+    step = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
+    site.partition("b")
+    site.run(1500)
+    for worker in site.workers.values():
+        worker.task_ms = 3000.0
+    site.submit("b-1/1", "job", count=1, template=step)
+    site.run(100)
+    (name,) = _used_workers(site)
+    site.kill("b-0/1")
+    site.leave(name)
+    site.run(heal_ms)
+    site.heal("b")
+    site.grant(HOLDER, STANDBYS)
+    site.run(4000)
+    assert site.overlapping_runs() == []
+
+
 def test_next_holder_awaits_a_leaving_worker_whose_runs_it_does_not_know():
     site = make_granted_site(task_ms=900.0)
     site.submit("b-1/1", "job", count=2)
