Await workers that left within the last lease in a new holder

Callers saw: a task could run twice if the worker that ran it left, its process went on, and the holder was lost within a second of that.

Cause: entry nodes forgot a worker when it announced that it leaves. The next holder did not ask it, and started its tasks elsewhere.

Change: entry nodes remember such workers for the length of a lease, and a new holder adds them as leaving. It waits until they have accepted a poll or their lease, counted from the announcement, has lapsed: 1.08 s at most, and less than the 1.2 s after which jobs are abandoned.

Test: 2 of 3 rows of test_next_holder_awaits_a_worker_that_left_before_its_grant failed before.

Three tests of refusals in test_pool had a new holder forget workers by an announcement that they leave, sent while the job ran there. That holder now awaits them, and the job completes, which one of the tests denied. Their setup sends the announcement 1.1 s earlier, before the job starts, so that the workers are unknown to the new holder again; their assertions are the same. With the fault that they guard against put back, all three fail with the new setup, and with the old one on this commit only one would.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -79,6 +79,8 @@
         self._open_nodes: dict[str, NodeGreeting] = {}
         self._last_connected_ms: dict[str, float] = {}
         self._workers: dict[str, WorkerInfo] = {}
+        # Workers that have left and may still run tasks, with the time.
+        self._left_workers: dict[str, tuple[float, WorkerInfo]] = {}
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
         # The last node that reported, as the holder, no use of kept jobs.
@@ -294,6 +296,15 @@
         info = self._workers.get(name)
         if info and not (born_ms and info.born_ms > born_ms):
             del self._workers[name]
+            self._drop_ended_leases()
+            self._left_workers[name] = (self._clock.now_ms(), info)
+
+    def _drop_ended_leases(self) -> None:
+        """Drops the workers that have left whose leases have lapsed."""
+        cutoff_ms = self._clock.now_ms() - self._timing.max_lease_ms
+        for name, (left_ms, _) in list(self._left_workers.items()):
+            if left_ms < cutoff_ms:
+                del self._left_workers[name]
 
     def _is_scheduled_here(self, info: WorkerInfo) -> bool:
         """Returns whether a worker belongs to this node's dispatcher."""
@@ -406,6 +417,7 @@
         for info in self._workers.values():
             if self._is_scheduled_here(info):
                 self.dispatcher.on_worker_heartbeat(info)
+        self._add_left_workers(self.dispatcher)
         self._broadcast(ENTRY_ROLE, self._scheduled_workers())
         self.callers.mark_unsent(self.node)
         # A sender that had this node as the holder under an earlier grant, and
@@ -417,6 +429,17 @@
         self._process_early_submits()
         self.callers.forward_all()
 
+    def _add_left_workers(self, dispatcher: Dispatcher) -> None:
+        """Adds the workers that may still run what an earlier holder started.
+
+        Their leases were not renewed after they had left.
+        """
+        self._drop_ended_leases()
+        for name, (left_ms, info) in self._left_workers.items():
+            if name not in self._workers and self._is_scheduled_here(info):
+                dispatcher.on_worker_heartbeat(info)
+                dispatcher.fleet.on_worker_left(name, info.born_ms, left_ms)
+
     @property
     def _needs_epoch(self) -> bool:
         """Whether a new grant with a higher fencing token is needed.
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -207,7 +207,9 @@
                 self._send_stop(worker, run)
         return worker
 
-    def on_worker_left(self, name: str, born_ms: int) -> None:
+    def on_worker_left(
+        self, name: str, born_ms: int, left_ms: float | None = None
+    ) -> None:
         """Handles that a worker leaves, unless it has started again since.
 
         What runs on it may go on for a while, so it is removed only when it
@@ -218,15 +220,17 @@
             name: name of the worker.
             born_ms: start time of the incarnation that has left, in ms since
                 1970; 0 for any.
+            left_ms: when it left, in ms; None for now.
         """
         worker = self.workers.get(name)
         if worker is None or (born_ms and worker.info.born_ms > born_ms):
             return
         if worker.left_ms is None:
-            now_ms = self._clock.now_ms()
-            worker.left_ms = now_ms
-            # Another node may have renewed the lease until now.
-            worker.on_lease_renewed(now_ms, self.timing.lease_ms)
+            worker.left_ms = (
+                self._clock.now_ms() if left_ms is None else left_ms
+            )
+            # Another node may have renewed the lease until then.
+            worker.lease_ends_ms = worker.left_ms + self.timing.max_lease_ms
             self._send_poll(worker, 0)
 
     def _remove_if_empty(self, worker: Worker) -> None:
--- a/packages/pool/src/clayfield/pool/timing.py
+++ b/packages/pool/src/clayfield/pool/timing.py
@@ -62,7 +62,7 @@
         A worker may have been given a full lease just before it gets a task,
         and a lease can't be shortened.
         """
-        limit_ms = self.resubmit_ms - self._max_lease_ms
+        limit_ms = self.resubmit_ms - self.max_lease_ms
         limit_ms = min(limit_ms, self.entry_timeout_ms)
         return max(MIN_START_LIMIT_MS, limit_ms)
 
@@ -71,11 +71,11 @@
         """Shortest `resubmit_ms` before which runs are certain to end."""
         return max(
             MIN_ENTRY_TIMEOUT_MS + self._stop_allowance_ms + self._margin_ms,
-            MIN_START_LIMIT_MS + self._max_lease_ms,
+            MIN_START_LIMIT_MS + self.max_lease_ms,
         )
 
     @property
-    def _max_lease_ms(self) -> float:
+    def max_lease_ms(self) -> float:
         """Longest time for which a worker keeps a lease once it is sent."""
         return self.lease_ms * (1 + MAX_CLOCK_DRIFT) + MAX_TRANSIT_MS
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -73,6 +73,25 @@
     assert site.overlapping_runs() == []
 
 
+@pytest.mark.parametrize("holder_lost_ms", [0, 300, 600])
+def test_next_holder_awaits_a_worker_that_left_before_its_grant(
+    holder_lost_ms: float,
+):
+    site = make_granted_site(task_ms=3000.0)
+    step = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
+    site.submit("b-1/1", "job", count=1, template=step)
+    site.run(350)
+    (name,) = _used_workers(site)
+    site.leave(name)
+    site.run(holder_lost_ms)
+    site.kill(HOLDER)
+    site.run(160)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(6000)
+    assert site.overlapping_runs() == []
+    assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+
+
 def test_next_holder_awaits_a_leaving_worker_whose_runs_it_does_not_know():
     site = make_granted_site(task_ms=900.0)
     site.submit("b-1/1", "job", count=2)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -170,6 +170,11 @@
     site.restart("b-0/2", "b", {"a", "b"})
     site.grant("c-0/1", {"a": "a-1/2", "b": "b-0/2"})
     site.run(300)
+    for node in ("a-1/2", "b-0/2"):
+        for name in ("worker-c-0", "worker-c-1"):
+            site.entries[node].on_message("control", WorkerLeft(name))
+    # Workers that left within the length of a lease are remembered.
+    site.run(1100)
     for worker in site.workers.values():
         worker.task_ms = 900.0
     template = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=900.0)
@@ -178,9 +183,6 @@
     site.submit("a-1/2", "job", template=template)
     site.run(20)
     assert _runs_of(site, "job")
-    for node in ("a-1/2", "b-0/2"):
-        for name in ("worker-c-0", "worker-c-1"):
-            site.entries[node].on_message("control", WorkerLeft(name))
     site.grant("b-0/2", {"a": "a-1/2", "c": "c-0/1"})
     return site, template
 
