Play random faults in a pool with callers that submit again

Cause: tests of lost entry nodes had no cut and tests of cuts no lost entry node, and none had callers that submit a job again after they lost their connection.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
     "policy",
     "alternatives",
     "faults",
+    "plays",
     "claims",
     "config",
     "wire",
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -426,6 +426,14 @@
         """
         self._frozen_until_ms[node] = self.clock.now_ms() + duration_ms
 
+    def is_dead(self, node: str) -> bool:
+        """Returns whether the process of an entry node was ended."""
+        return node in self._dead
+
+    def is_frozen(self, node: str) -> bool:
+        """Returns whether an entry node is suspended now."""
+        return self._frozen_ms(node) > 0
+
     def _frozen_ms(self, node: str) -> float:
         """Returns for how long an entry node is still frozen, in ms."""
         until_ms = self._frozen_until_ms.get(node, 0.0)
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -8,6 +8,7 @@
 import pytest
 
 from clayfield.pool import EndKind, PoolTiming
+from clayfield.testbed.pool_plays import PoolPlay
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HOLDER,
@@ -85,6 +86,16 @@
     assert site.overlapping_runs() == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("delayed_start_share", [0.0, 0.1])
+def test_no_task_runs_twice_at_once_in_a_random_play(
+    seed: int, delayed_start_share: float
+):
+    play = PoolPlay(seed, delayed_start_share)
+    assert play.site.overlapping_runs() == []
+    assert play.counts["completed"] > 0
+
+
 def test_runs_end_before_the_resubmission_when_the_holder_freezes_meanwhile():
     site = _make_site()
     _submit(site, "c-1/1")
