Check the entry nodes by session instead of by job

Cause: each tick of the holder, 50 a second, looked for the sessions of every open job and when its entry nodes were last heard.

Change: the sessions are collected first, and the jobs are looked at only while a session is silent or a job is paused.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -20,7 +20,7 @@
     PoolAction,
     SendToNode,
 )
-from clayfield.pool.entry_sessions import EntrySession, EntrySessions
+from clayfield.pool.entry_sessions import EntrySessions
 from clayfield.pool.fleet import Fleet
 from clayfield.pool.intake import MIN_RETRY_MS, Intake
 from clayfield.pool.job_store_client import JobStoreClient
@@ -126,6 +126,7 @@
         self._results: dict[str, tuple[float, JobEnded]] = {}
         self._is_changed = True
         self._must_poll = False
+        self._has_paused_jobs = False
 
     @property
     def open_jobs(self) -> int:
@@ -422,17 +423,32 @@
         Their callers may submit them to another scheduler. A paused job
         continues if one of its entry nodes replies again.
         """
-        sessions: dict[str, EntrySession] = {}
+        sessions = dict.fromkeys(
+            session
+            for open_job in self._jobs.by_key.values()
+            for session in open_job.sessions.values()
+        )
+        self._sessions.probe_due(sessions)
+        timeout_ms = self._timing.entry_timeout_ms
+        is_any_silent = any(
+            now_ms - session.silent_since_ms > timeout_ms
+            for session in sessions
+        )
+        if not is_any_silent and not self._has_paused_jobs:
+            return
+        self._has_paused_jobs = False
         for open_job in self._jobs.by_key.values():
-            sessions |= open_job.sessions
-            if not open_job.is_started:
-                continue
-            silent_ms = now_ms - open_job.silent_since_ms
-            is_silent = silent_ms > self._timing.entry_timeout_ms
-            if is_silent != open_job.is_paused:
-                open_job.is_paused = is_silent
-                self._on_paused(open_job, silent_ms)
-        self._sessions.probe_due(sessions.values())
+            if open_job.is_started:
+                self._update_paused(open_job, now_ms)
+            self._has_paused_jobs |= open_job.is_paused
+
+    def _update_paused(self, open_job: OpenJob, now_ms: float) -> None:
+        """Pauses or resumes a job, if its entry nodes are silent or not."""
+        silent_ms = now_ms - open_job.silent_since_ms
+        is_silent = silent_ms > self._timing.entry_timeout_ms
+        if is_silent != open_job.is_paused:
+            open_job.is_paused = is_silent
+            self._on_paused(open_job, silent_ms)
 
     def _on_paused(self, open_job: OpenJob, silent_ms: float) -> None:
         """Stops the runs of a job that was paused; logs the change."""
