Let leases lapse on restarted stand-in workers despite rounding

Cause: in the testbed, not the product. A stand-in worker checks its lease once when it ends. Its clock counts from its last start, and the difference of two times can be smaller than the sum that the check was scheduled by; the check then took the lease for valid, and none followed. Trace: last renewal at 15683 ms until 7102.8 on its clock, which started at 9578; the end at 16681 was not acted on. Without a restart the clocks are equal, so no test was concerned that restarts no worker.

Change: the check allows for rounding. Test: test_runs_on_a_restarted_stand_in _worker_end_when_its_lease_lapses failed before.

--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -34,6 +34,8 @@
 THROTTLE_DELAY_MS = 100.0
 IDLE_TAIL_MS = 50.0
 SLOT_CPU = 6800
+# Sums of times differ by less than this because of rounding.
+ROUNDING_MS = 1e-6
 
 
 def write_checkpoint(task_id: TaskId, done_ms: float) -> str:
@@ -420,7 +422,7 @@
 
     def _expire_lease(self) -> None:
         """Ends all runs if the lease has expired."""
-        if self.clock_ms < self._lease_until_ms:
+        if self._lease_until_ms - self.clock_ms > ROUNDING_MS:
             return
         self._unacked.clear()
         for run in list(self._running.values()):
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from clayfield.pool import EndKind, StartRun, TaskId
 from clayfield.testbed.pool_site import HOLDER, make_granted_site
 from clayfield.wire.cluster import WorkerLeft, WorkersPush
 from clayfield.wire.jobs import Verdict, WorkerState
@@ -171,3 +172,20 @@
     started = len(site.runs)
     _submit_jobs(site, 10)
     assert any(run.worker == WORKER for run in site.runs[started:])
+
+
+def test_runs_on_a_restarted_stand_in_worker_end_when_its_lease_lapses():
+    # Times since its start are rounded.
+    site = _site()
+    site.isolate(WORKER)
+    worker = site.workers[WORKER]
+    worker.task_ms = 60_000.0
+    for number in range(200):
+        site.run(site.rng.uniform(0, 10))
+        worker.restart()
+        site.run(site.rng.uniform(0, 10))
+        until_ms = worker.clock_ms + 998.0
+        task_id = TaskId(f"task-{number}", 0, 0)
+        worker.start(StartRun(WORKER, "", task_id, 1, "", until_ms, 1))
+        site.run(999)
+        assert site.runs[-1].kind is EndKind.LAPSED, number
