Run a job anew that is submitted again after it was abandoned or left

Cause: the holder keeps the results of ended jobs for 20 s so that each copy of a job gets the same one. It kept as results, too, that the callers of an entry node had left and that a job was abandoned.

Change: after these two ends only copies of the same submission get the same answer, as after a refusal. A later one opens the job anew. As runs of the former one may go on, a start without a reply for instance, its tasks wait until these have ended. A job that was cancelled on request is not run again.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -6,6 +6,7 @@
 fed events and a clock, and returns the actions to carry out.
 """
 
+import collections
 import math
 
 import msgspec
@@ -123,6 +124,8 @@
                 listening_since_ms,
             )
         self._unresolved: dict[str, tuple[float, OpenJob]] = {}
+        # Number of runs that go on of an ended job, by its key.
+        self._runs_left: collections.Counter[str] = collections.Counter()
         self._results: dict[str, tuple[float, JobEnded]] = {}
         self._is_changed = True
         self._must_poll = False
@@ -257,9 +260,14 @@
         if cancel.number and cancel.number < open_job.entries.get(entry, 0):
             # The entry node has submitted the job again since.
             return
+        if open_job.job.is_kept:
+            return
+        number = open_job.entries.get(entry, 0)
+        left = JobEnded(cancel.key, Verdict.CANCELLED, Reason.NONE, 0.0, number)
+        self._refusals.add(entry, left)
         open_job.remove_entry(entry)
-        if not open_job.entries and not open_job.job.is_kept:
-            self._finish(open_job, Verdict.CANCELLED, Reason.CANCELLED)
+        if not open_job.entries:
+            self._finish(open_job, Verdict.CANCELLED, Reason.NONE)
 
     def on_inherited_end(self, row: EndedRun, worker: Worker) -> None:
         """Handles the end of a run that an earlier holder started."""
@@ -282,6 +290,7 @@
         task.run = None
         task.update_checkpoint(run)
         if task.job.is_ended:
+            self._on_last_runs_end(task.job.job.key)
             return
         if task.step.is_long_running:
             self._restart(task, worker)
@@ -293,6 +302,12 @@
         elif task.state is not TaskState.DONE:
             self._apply_end(run, end, worker, now_ms)
 
+    def _on_last_runs_end(self, key: str) -> None:
+        """Handles the end of a run that went on after its job had ended."""
+        self._runs_left[key] -= 1
+        if self._runs_left[key] <= 0:
+            del self._runs_left[key]
+
     def _restart(self, task: Task, worker: Worker) -> None:
         """Enqueues a long-running task again, on another worker if possible."""
         task.state = TaskState.WAITING
@@ -610,7 +625,7 @@
         self.before_renewal()
         self._is_changed = False
         self._jobs.is_changed = False
-        blocked_keys = self._claim_inherited()
+        blocked_keys = self._claim_inherited() | self._runs_left.keys()
         now_ms = self._clock.now_ms()
         workers = self.fleet.workers.values()
         selector = WorkerSelector(workers, self.tickets, now_ms)
@@ -707,16 +722,22 @@
         self._unresolved.pop(key, None)
         self._log_end(open_job, verdict, reason)
         ended = JobEnded(key, verdict, reason, retry_after_ms)
-        is_refused = verdict is Verdict.REFUSED
-        if not is_refused and not open_job.job.is_kept:
+        # A job that nobody waits for any more has no result either.
+        may_run_again = verdict in (Verdict.REFUSED, Verdict.ABANDONED)
+        may_run_again = may_run_again or not open_job.entries
+        if not may_run_again and not open_job.job.is_kept:
             self._results[key] = (self._clock.now_ms(), ended)
         for entry, number in open_job.entries.items():
             reply = msgspec.structs.replace(ended, number=number)
-            if is_refused:
+            if may_run_again:
                 self._refusals.add(entry, reply)
             self._send(entry, reply)
         for task in open_job.all_tasks():
-            if task.run and task.run.state is not RunState.DOUBTFUL:
+            if task.run is None:
+                continue
+            if not open_job.job.is_kept:
+                self._runs_left[key] += 1
+            if task.run.state is not RunState.DOUBTFUL:
                 self.fleet.stop(task.run)
 
     def _log_end(
--- a/packages/pool/src/clayfield/pool/refusals.py
+++ b/packages/pool/src/clayfield/pool/refusals.py
@@ -1,5 +1,8 @@
 """Refusals that the node that sent them must not revise.
 
+The same holds for the other answers after which a job may be submitted again,
+and is run anew: that it was abandoned, and that its callers have left.
+
 An entry node may send a job to the same holder more than once: when its
 connection breaks, it sends the job again on the next one. A copy sent on the
 broken connection may still be read, before or after the later copy. Once one
