Judge per holder whether it has ended the runs of a job

Callers saw: no answer until the rejoin, or 504, for jobs that the holder had when their hall was cut off, if their entry node sent new jobs to the standby within 1.3 s of the cut. That is so where connections break at once.

The entry node waited for 1.3 s without a reply to any probe, and the standby had begun to probe it.

Change: the time of the last reply is kept for each scheduler, and those of the schedulers that had the job count.

Test: 3 rows of test_standby_gets_the_holders_jobs_although_it_has_probed_their _entry failed before.

--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -146,9 +146,9 @@
         self._last_submission = 0
         self._session = 1
         self._probed_ms = 0.0
-        self._replied_ms = -math.inf
-        # The nodes that stop the runs of a job unless its session goes on.
-        self._probing_nodes: set[str] = set()
+        # Time of the latest reply to a probe, by the node that had sent it.
+        # Such a node stops the runs of a job unless its session goes on.
+        self._replied_ms: dict[str, float] = {}
 
     @property
     def open_jobs(self) -> int:
@@ -293,10 +293,10 @@
         That is so some time after the last reply to a probe, as for a job
         that its caller may submit again.
         """
-        silent_ms = self._clock.now_ms() - self._replied_ms
-        return (
-            silent_ms >= self._timing.resubmit_ms
-            and pending.receivers <= self._probing_nodes
+        latest_ms = self._clock.now_ms() - self._timing.resubmit_ms
+        return all(
+            self._replied_ms.get(node, math.inf) <= latest_ms
+            for node in pending.receivers
         )
 
     def on_probe(self, node: str, probe: SessionProbe) -> None:
@@ -308,8 +308,7 @@
         if node != self._link.holder:
             return
         self._probed_ms = probe.sent_ms
-        self._replied_ms = self._clock.now_ms()
-        self._probing_nodes.add(node)
+        self._replied_ms[node] = self._clock.now_ms()
         reply = SessionReply(self._session, probe.sent_ms)
         self._link.send_to_holder(reply)
 
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -265,6 +265,23 @@
     assert site.overlapping_runs() == []
 
 
+@pytest.mark.parametrize("new_ms", [100, 500, 900])
+def test_standby_gets_the_holders_jobs_although_it_has_probed_their_entry(
+    new_ms: float,
+):
+    site = _make_site(task_ms=600.0)
+    _submit(site, "c-1/1")
+    site.run(200)
+    site.partition("c")
+    site.run(300 + new_ms)
+    for number in range(20):
+        site.submit("c-1/1", f"new-{number}", count=1)
+        site.run(100)
+    site.run(1000)
+    assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+    assert site.overlapping_runs() == []
+
+
 def test_standby_gets_no_job_whose_holder_sends_no_probes():
     site = _make_site(task_ms=600.0)
     callers = site.entries["c-1/1"].callers
