Start nothing on a worker whose lease must not be renewed

Callers saw: nothing so far. In the first milliseconds of a new holder, a start on a worker that also ran a job of an entry node which had not replied yet would have had a lease that ends at minus infinity. The platform's encoding of the command fails on that, within the holder's turn of the event loop.

A session without any reply counts as confirmed in the infinite past, and a start took over that limit.

Change: tasks are not placed on workers whose last poll could not renew the lease, and no lease of a start ends before it is sent. The stand-in worker rejects a lease that no request could contain.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -627,7 +627,7 @@
         self._jobs.is_changed = False
         blocked_keys = self._claim_inherited() | self._runs_left.keys()
         now_ms = self._clock.now_ms()
-        workers = self.fleet.workers.values()
+        workers = self.fleet.leasable_workers()
         selector = WorkerSelector(workers, self.tickets, now_ms)
         misses = 0
         for open_job in self._jobs.waiting_jobs():
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -119,6 +119,14 @@
             for worker in self.workers.values()
         )
 
+    def leasable_workers(self) -> list[Worker]:
+        """Returns the workers whose leases were not limited by a run lately."""
+        return [
+            worker
+            for name, worker in self.workers.items()
+            if name not in self._unrenewed
+        ]
+
     def poll_all(self) -> None:
         """Polls every worker again, a limited number of them at a time."""
         self._schedule.sync_after_ms = self._clock.now_ms()
@@ -278,7 +286,7 @@
         run.set_expected_time(work_ms, worker.speed)
         task.run = run
         worker.reserve(run)
-        lease_ms = self._lease_ms(worker, now_ms)
+        lease_ms = max(0.0, self._lease_ms(worker, now_ms))
         worker.on_lease_renewed(now_ms, lease_ms)
         self.actions.append(
             StartRun(
--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -216,7 +217,14 @@
         self._pending_polls = []
 
     def start(self, request: StartRun) -> CommandResult:
-        """Returns the result of a start request."""
+        """Returns the result of a start request.
+
+        Raises:
+            ValueError: the end of the lease is not finite, so that no request
+                could contain it.
+        """
+        if not math.isfinite(request.lease_until_ms):
+            raise ValueError(f"lease ends at {request.lease_until_ms}")
         if request.fence < self._fence:
             return CommandResult.FENCED
         self._fence = request.fence
--- a/tests/test_resubmission.py
+++ b/tests/test_resubmission.py
@@ -206,6 +206,23 @@
     assert site.overlapping_runs() == []
 
 
+def test_starts_beside_a_run_of_an_unconfirmed_session_have_a_finite_lease():
+    site = make_granted_site(workers=1, task_ms=900.0, settle_ms=4000)
+    _submit(site, "c-1/1", count=3)
+    site.run(300)
+    site.kill(HOLDER)
+    site.run(160)
+    site.delay_messages("c-1/1", 5)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(5)
+    site.delay_messages("c-1/1", 400)
+    for number in range(10):
+        site.submit("b-0/1", f"other-{number}", count=1)
+        site.run(20)
+    site.run(4000)
+    assert site.overlapping_runs() == []
+
+
 def test_next_holder_keeps_the_runs_beside_one_of_a_lost_entry_node():
     site = make_granted_site(workers=1, task_ms=2000.0, settle_ms=4000)
     _submit(site, HOLDER, count=3)
