Move the pausing of jobs out of the dispatcher, and name the final replies

Change: `pool.pausing` has what follows from the sessions of entry nodes: when a task may start, how long a lease may last, which jobs are paused. `Refusals` is `FinalReplies`. No decision changes.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -21,14 +21,14 @@
     PoolAction,
     SendToNode,
 )
-from clayfield.pool.entry_sessions import EntrySessions
+from clayfield.pool.final_replies import FinalReplies
 from clayfield.pool.fleet import Fleet
 from clayfield.pool.intake import MIN_RETRY_MS, Intake
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.kept import RUNS_PER_EPOCH, KeptJobs
+from clayfield.pool.pausing import Pausing
 from clayfield.pool.placement import WorkerSelector
-from clayfield.pool.refusals import Refusals
 from clayfield.pool.run_ends import FleetListener, RunOutcome
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.tickets import TicketCache
@@ -77,7 +77,7 @@
         fence: int,
         store: JobStoreClient | None = None,
         listening_since_ms: float = 0.0,
-        refusals: Refusals | None = None,
+        replies: FinalReplies | None = None,
         node: str = "",
     ):
         """Creates a dispatcher without workers or jobs.
@@ -89,19 +89,18 @@
             store: client of the job store; None on a standby.
             listening_since_ms: time since when this node has received the
                 heartbeats of workers, in ms.
-            refusals: the refusals that this node has sent; None for none.
+            replies: the final replies that this node has sent; None for none.
             node: name of this node.
         """
         self._clock = clock
         is_standby = store is None
-        self._timing = timing
-        self._sessions = EntrySessions(clock, node)
         self.fleet = Fleet(clock, timing, self, fence, is_standby)
         self.is_fenced = False
         self.tickets = TicketCache(clock)
         self._jobs = JobTable()
+        self._pausing = Pausing(clock, timing, node, self.fleet, self._jobs)
         self._admission = Admission()
-        self._refusals = refusals or Refusals(clock)
+        self._replies = replies or FinalReplies(clock)
         self._intake = Intake(
             clock,
             self.fleet,
@@ -118,18 +117,17 @@
                 self.fleet,
                 self._jobs,
                 self._admission,
-                self._refusals,
+                self._replies,
                 self._intake.admit,
                 self._finish,
                 listening_since_ms,
             )
         self._unresolved: dict[str, tuple[float, OpenJob]] = {}
-        # Number of runs that go on of an ended job, by its key.
-        self._runs_left: collections.Counter[str] = collections.Counter()
+        # Number of runs of ended jobs that go on, by key of the job.
+        self._leftover_runs: collections.Counter[str] = collections.Counter()
         self._results: dict[str, tuple[float, JobEnded]] = {}
         self._is_changed = True
         self._must_poll = False
-        self._has_paused_jobs = False
 
     @property
     def open_jobs(self) -> int:
@@ -138,9 +136,9 @@
 
     def take_actions(self) -> list[PoolAction]:
         """Returns the actions collected since the last call."""
-        for entry, probe in self._sessions.probes:
+        for entry, probe in self._pausing.sessions.probes:
             self._send(entry, probe)
-        self._sessions.probes.clear()
+        self._pausing.sessions.probes.clear()
         actions = self.fleet.actions + self.tickets.actions
         self.fleet.actions.clear()
         self.tickets.actions.clear()
@@ -164,16 +162,17 @@
         """Handles a job submitted by an entry node.
 
         A job that is open gets one more entry node to report to; a job that
-        ended recently gets its result again. After a refusal the job is opened
-        only by a later submission.
+        ended recently gets its result again. After a refusal, or another end
+        that lets its caller submit it again, the job is opened only by a later
+        submission.
         """
         key = submit.job.key
         if submit.job.is_kept:
             self._on_submit_kept(entry, submit)
             return
-        refusal = self._refusals.find(entry, submit)
-        if refusal:
-            self._send(entry, refusal)
+        reply = self._replies.find(entry, submit)
+        if reply:
+            self._send(entry, reply)
             return
         existing = self._jobs.by_key.get(key)
         if existing:
@@ -190,8 +189,7 @@
             submit.epoch * RUNS_PER_EPOCH if submit.was_sent else 0
         )
         open_job = OpenJob(submit.job, arrived_ms, first_run)
-        session = self._sessions.on_submit(entry, submit)
-        open_job.add_entry(entry, submit.number, session)
+        self._pausing.add_entry(open_job, entry, submit)
         self._jobs.add(open_job)
         if submit.was_sent:
             open_job.was_sent_elsewhere = True
@@ -210,8 +208,7 @@
             # Another scheduler may have run it since it was opened here.
             open_job.was_sent_elsewhere = True
             self._await_runs(open_job)
-        session = self._sessions.on_submit(entry, submit)
-        open_job.add_entry(entry, submit.number, session)
+        self._pausing.add_entry(open_job, entry, submit)
 
     def _await_runs(self, open_job: OpenJob) -> None:
         """Starts no task of a job until the runs on all workers are known."""
@@ -221,8 +218,7 @@
 
     def on_session_reply(self, entry: str, reply: SessionReply) -> None:
         """Handles the confirmation that an entry node waits for its jobs."""
-        self._sessions.on_reply(entry, reply)
-        self.fleet.renew_withheld_leases()
+        self._pausing.on_reply(entry, reply)
         self._is_changed = True
 
     def _on_submit_kept(self, entry: str, submit: SubmitJob) -> None:
@@ -264,7 +260,7 @@
             return
         number = open_job.entries.get(entry, 0)
         left = JobEnded(cancel.key, Verdict.CANCELLED, Reason.NONE, 0.0, number)
-        self._refusals.add(entry, left)
+        self._replies.add(entry, left)
         open_job.remove_entry(entry)
         if not open_job.entries:
             self._finish(open_job, Verdict.CANCELLED, Reason.NONE)
@@ -290,7 +286,7 @@
         task.run = None
         task.update_checkpoint(run)
         if task.job.is_ended:
-            self._on_last_runs_end(task.job.job.key)
+            self._on_leftover_end(task.job.job.key)
             return
         if task.step.is_long_running:
             self._restart(task, worker)
@@ -302,11 +298,11 @@
         elif task.state is not TaskState.DONE:
             self._apply_end(run, end, worker, now_ms)
 
-    def _on_last_runs_end(self, key: str) -> None:
+    def _on_leftover_end(self, key: str) -> None:
         """Handles the end of a run that went on after its job had ended."""
-        self._runs_left[key] -= 1
-        if self._runs_left[key] <= 0:
-            del self._runs_left[key]
+        self._leftover_runs[key] -= 1
+        if self._leftover_runs[key] <= 0:
+            del self._leftover_runs[key]
 
     def _restart(self, task: Task, worker: Worker) -> None:
         """Enqueues a long-running task again, on another worker if possible."""
@@ -420,7 +416,7 @@
             has_timed_out = now_ms >= open_job.timeout_at_ms
             if has_timed_out and not open_job.job.is_kept:
                 self._abort(open_job, Reason.TIMED_OUT)
-        self._check_entries(now_ms)
+        self._pausing.tick()
         self._jobs.release_due(self._clock.wall_ms())
         self._jobs.mark_late(now_ms)
         self._move_hung_runs(now_ms)
@@ -429,70 +425,12 @@
             if now_ms - ended_ms < RESULT_RETENTION_MS:
                 break
             del self._results[key]
-        self._refusals.expire()
+        self._replies.expire()
         self._is_changed = True
 
-    def _check_entries(self, now_ms: float) -> None:
-        """Pauses the jobs that no entry node is known to wait for.
-
-        Their callers may submit them to another scheduler. A paused job
-        continues if one of its entry nodes replies again.
-        """
-        sessions = dict.fromkeys(
-            session
-            for open_job in self._jobs.by_key.values()
-            for session in open_job.sessions.values()
-        )
-        self._sessions.probe_due(sessions)
-        timeout_ms = self._timing.entry_timeout_ms
-        is_any_silent = any(
-            now_ms - session.silent_since_ms > timeout_ms
-            for session in sessions
-        )
-        if not is_any_silent and not self._has_paused_jobs:
-            return
-        self._has_paused_jobs = False
-        for open_job in self._jobs.by_key.values():
-            if open_job.is_started:
-                self._update_paused(open_job, now_ms)
-            self._has_paused_jobs |= open_job.is_paused
-
-    def _update_paused(self, open_job: OpenJob, now_ms: float) -> None:
-        """Pauses or resumes a job, if its entry nodes are silent or not."""
-        silent_ms = now_ms - open_job.silent_since_ms
-        is_silent = silent_ms > self._timing.entry_timeout_ms
-        if is_silent != open_job.is_paused:
-            open_job.is_paused = is_silent
-            self._on_paused(open_job, silent_ms)
-
-    def _on_paused(self, open_job: OpenJob, silent_ms: float) -> None:
-        """Stops the runs of a job that was paused; logs the change."""
-        runs = [task.run for task in open_job.all_tasks() if task.run]
-        event = Event.JOB_RESUMED
-        if open_job.is_paused:
-            event = Event.JOB_PAUSED
-            self._stop_all(runs)
-        emit(
-            event,
-            job=open_job.job.key,
-            entries=sorted(open_job.entries),
-            silent_ms=round(max(0.0, silent_ms)),
-            runs=len(runs),
-            fence=self.fleet.fence,
-        )
-
     def lease_limit_ms(self, run: Run) -> float:
-        """Returns the time to which a lease may be renewed beside a run.
-
-        An earlier holder may have started the run for an entry node that is
-        lost, so the lease is not renewed until the job is known here.
-        """
-        open_job = self._jobs.by_key.get(run.task_id.job)
-        if run.task is not None:
-            open_job = run.task.job
-        if open_job is None:
-            return -math.inf
-        return open_job.confirmed_ms + self._timing.run_limit_ms
+        """Returns the time to which a lease may be renewed beside a run."""
+        return self._pausing.lease_limit_ms(run)
 
     def _move_hung_runs(self, now_ms: float) -> None:
         """Stops hung and very slow runs, at most once for each task.
@@ -625,7 +563,7 @@
         self.before_renewal()
         self._is_changed = False
         self._jobs.is_changed = False
-        blocked_keys = self._claim_inherited() | self._runs_left.keys()
+        blocked_keys = self._claim_inherited() | self._leftover_runs.keys()
         now_ms = self._clock.now_ms()
         workers = self.fleet.leasable_workers()
         selector = WorkerSelector(workers, self.tickets, now_ms)
@@ -633,19 +571,16 @@
         for open_job in self._jobs.waiting_jobs():
             if open_job.job.key in blocked_keys:
                 continue
-            if not open_job.is_placeable or not self._may_place(
-                open_job, now_ms
-            ):
+            if not open_job.is_placeable or not self._may_place(open_job):
                 continue
             misses = 0 if self._place_job(open_job, selector) else misses + 1
             if misses >= MAX_CONSECUTIVE_MISSES:
                 break
 
-    def _may_place(self, open_job: OpenJob, now_ms: float) -> bool:
+    def _may_place(self, open_job: OpenJob) -> bool:
         if open_job.job.is_kept:
             return self.kept_jobs.may_place(open_job)
-        silent_ms = now_ms - open_job.confirmed_ms
-        return silent_ms <= self._timing.start_limit_ms
+        return self._pausing.may_start(open_job)
 
     def _place_job(self, open_job: OpenJob, selector: WorkerSelector) -> bool:
         """Starts the tasks of a job that fit; returns whether one started."""
@@ -730,13 +665,13 @@
         for entry, number in open_job.entries.items():
             reply = msgspec.structs.replace(ended, number=number)
             if may_run_again:
-                self._refusals.add(entry, reply)
+                self._replies.add(entry, reply)
             self._send(entry, reply)
         for task in open_job.all_tasks():
             if task.run is None:
                 continue
             if not open_job.job.is_kept:
-                self._runs_left[key] += 1
+                self._leftover_runs[key] += 1
             if task.run.state is not RunState.DOUBTFUL:
                 self.fleet.stop(task.run)
 
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -14,9 +14,9 @@
 from clayfield.pool.callers import HolderLink, PendingCallers
 from clayfield.pool.commands import Advice, CommandReply, PollReply, SendToNode
 from clayfield.pool.dispatcher import Dispatcher
+from clayfield.pool.final_replies import FinalReplies
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.kept import KeptJobs
-from clayfield.pool.refusals import Refusals
 from clayfield.pool.role import CONTROL_ROLE, ENTRY_ROLE, Role
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
@@ -87,7 +87,7 @@
         self._unused_at = ""
         # Shared by all dispatchers, since a copy of a refused job may arrive
         # after the next grant.
-        self._refusals = Refusals(clock)
+        self._replies = FinalReplies(clock)
         self._early_submits: list[tuple[float, str, SubmitJob]] = []
         self._min_submit_epoch = 0
         self._actions: list[EntryAction] = []
@@ -410,7 +410,7 @@
             self._role.fence,
             store,
             self._started_ms,
-            self._refusals,
+            self._replies,
             self.node,
         )
         self._send_status()
--- a/packages/pool/src/clayfield/pool/refusals.py
+++ b/packages/pool/src/clayfield/pool/final_replies.py
@@ -1,23 +1,23 @@
-"""Refusals that the node that sent them must not revise.
-
-The same holds for the other answers after which a job may be submitted again,
-and is run anew: that it was abandoned, and that its callers have left.
+"""Replies to submissions that the node that sent them must not revise.
 
 An entry node may send a job to the same holder more than once: when its
 connection breaks, it sends the job again on the next one. A copy sent on the
 broken connection may still be read, before or after the later copy. Once one
 of them was refused, the caller may have been told, so none may be run.
+
+The same holds for the other ends after which a caller may submit the job
+again, to have it run anew: that it was abandoned, or that its callers left.
 """
 
 from clayfield.base import Clock
 from clayfield.wire.cluster import JobEnded, SubmitJob
 
-# How long refusals are stored; copies of a job arrive within this time.
-REFUSAL_RETENTION_MS = 20_000.0
+# How long replies are stored; copies of a job arrive within this time.
+REPLY_RETENTION_MS = 20_000.0
 
 
-class Refusals:
-    """The refusals that one node has sent recently."""
+class FinalReplies:
+    """The replies that one node has sent recently."""
 
     __slots__ = ("_by_job", "_clock")
 
@@ -25,16 +25,16 @@
         self._clock = clock
         self._by_job: dict[tuple[str, str], tuple[float, JobEnded]] = {}
 
-    def add(self, entry: str, refusal: JobEnded) -> None:
-        """Records a refusal that is sent to an entry node."""
+    def add(self, entry: str, reply: JobEnded) -> None:
+        """Records a reply that is sent to an entry node."""
         # Removed first, so that the dictionary stays ordered by time.
-        self._by_job.pop((entry, refusal.key), None)
-        self._by_job[entry, refusal.key] = (self._clock.now_ms(), refusal)
+        self._by_job.pop((entry, reply.key), None)
+        self._by_job[entry, reply.key] = (self._clock.now_ms(), reply)
 
     def find(self, entry: str, submit: SubmitJob) -> JobEnded | None:
-        """Returns the refusal of a submission, None if it was not refused.
+        """Returns the reply to a submission, None if it has none.
 
-        A submission with a higher number than the refused one is a new one.
+        A submission with a higher number than the answered one is a new one.
 
         Args:
             entry: the entry node that sent the submission.
@@ -46,10 +46,10 @@
         return stored[1]
 
     def expire(self) -> None:
-        """Drops the refusals that were sent long ago."""
+        """Drops the replies that were sent long ago."""
         now_ms = self._clock.now_ms()
         while self._by_job:
             entry_and_key, (sent_ms, _) = next(iter(self._by_job.items()))
-            if now_ms - sent_ms < REFUSAL_RETENTION_MS:
+            if now_ms - sent_ms < REPLY_RETENTION_MS:
                 return
             del self._by_job[entry_and_key]
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -16,6 +16,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.pool.admission import Admission
 from clayfield.pool.commands import EndedRun, EndKind, SendToNode
+from clayfield.pool.final_replies import FinalReplies
 from clayfield.pool.fleet import Fleet
 from clayfield.pool.job_store_client import (
     AUTHORITY_MS,
@@ -23,7 +24,6 @@
     JobStoreClient,
 )
 from clayfield.pool.job_table import JobTable
-from clayfield.pool.refusals import Refusals
 from clayfield.pool.run_ends import RunOutcome
 from clayfield.pool.tasks import OpenJob, Run, RunState, Task, TaskState
 from clayfield.pool.timing import (
@@ -118,7 +118,7 @@
         fleet: Fleet,
         jobs: JobTable,
         admission: Admission,
-        refusals: Refusals,
+        replies: FinalReplies,
         admit: Admit,
         finish: Finish,
         listening_since_ms: float,
@@ -131,7 +131,7 @@
             fleet: the workers.
             jobs: all open jobs, kept or not.
             admission: expected durations and objectives of jobs.
-            refusals: the refusals that this holder has sent.
+            replies: the final replies that this node has sent.
             admit: returns whether a new job is admitted; refuses it if not.
             finish: ends an open job with a verdict, a reason and the time
                 after which to retry, in ms.
@@ -144,7 +144,7 @@
         self._fleet = fleet
         self._jobs = jobs
         self._admission = admission
-        self._refusals = refusals
+        self._replies = replies
         self._admit = admit
         self._finish = finish
         self._listening_since_ms = listening_since_ms
@@ -168,7 +168,7 @@
         """
         key = submit.job.key
         existing = self._jobs.by_key.get(key)
-        refusal = self._refusals.find(entry, submit)
+        refusal = self._replies.find(entry, submit)
         if refusal:
             self._send(entry, refusal)
         elif existing and not existing.is_stored:
@@ -216,7 +216,7 @@
         refusal = JobEnded(
             submit.job.key, Verdict.REFUSED, reason, RETRY_MS, submit.number
         )
-        self._refusals.add(entry, refusal)
+        self._replies.add(entry, refusal)
         self._send(entry, refusal)
 
     def on_cancel(self, entry: str, cancel: CancelJob) -> None:
