Tell the answers of a caller's requests apart in random plays

Cause: in the play, not the product. It knew answers by the job. The caller had submitted at b-1/1, which was suspended, then at b-0/2 at 13895 ms; at 14091 ms b-1/1 went on and answered the first request, which the play took for the answer of b-0/2. So it submitted again at 15400, while b-0/2 was lost at 15069 only.

Change: the site records answers by request, and the play looks at the latest request of each caller. The check is the same.

--- a/packages/testbed/src/clayfield/testbed/pool_plays.py
+++ b/packages/testbed/src/clayfield/testbed/pool_plays.py
@@ -44,15 +44,17 @@
         hall: hall of the caller.
         count: number of tasks of the job.
         node: the entry node that it is connected to, "" while it has none.
+        request_id: number of its latest request.
         submissions: how often it has submitted the job.
     """
 
-    __slots__ = ("count", "hall", "node", "submissions")
+    __slots__ = ("count", "hall", "node", "request_id", "submissions")
 
     def __init__(self, hall: str, count: int):
         self.hall = hall
         self.count = count
         self.node = ""
+        self.request_id = 0
         self.submissions = 0
 
 
@@ -133,8 +135,9 @@
             return
         caller.node = self._rng.choice(nodes)
         caller.submissions += 1
-        self.site.outcomes.pop(key, None)
-        self.site.submit(caller.node, key, count=caller.count, template=STEP)
+        caller.request_id = self.site.submit(
+            caller.node, key, count=caller.count, template=STEP
+        )
         submissions = caller.submissions
         self.site.call_later(
             CALLER_TIMEOUT_MS + 2 * REPLACE_MS,
@@ -150,14 +153,14 @@
         """Lets callers whose jobs were abandoned submit them again in time."""
         self.site.call_later(CONTROL_INTERVAL_MS, self._collect_answers)
         for key, caller in self._callers.items():
-            if caller.node and key in self.site.outcomes:
+            if caller.node and caller.request_id in self.site.answers:
                 self._on_answer_or_loss(key)
 
     def _on_answer_or_loss(self, key: str) -> None:
         """Counts the answer of a caller, or lets it submit its job again."""
         caller = self._callers[key]
         caller.node = ""
-        _, ended = self.site.outcomes.get(key, (0.0, None))
+        ended = self.site.answers.get(caller.request_id)
         if ended and ended.verdict is not Verdict.ABANDONED:
             self.counts[ended.verdict.name.lower()] += 1
         elif caller.submissions < MAX_SUBMISSIONS:
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -97,6 +97,8 @@
         batch_jobs: keys of the jobs with batch tasks.
         outcomes: time and content of the reply that ended a job for its caller,
             by job.
+        answers: the reply to each request that submitted a job, by the number
+            of the request.
         leader: the fake leader of the control nodes, which has the job store.
         reported_states: the state last reported to the caller of a kept job, by
             job; None for an unknown job.
@@ -121,6 +123,7 @@
         self.batch_jobs: set[str] = set()
         self.advisor = FakeAdvisor(self.clock, self.call_later, self.rng)
         self.outcomes: dict[str, tuple[float, JobEnded]] = {}
+        self.answers: dict[int, JobEnded] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.entries: dict[str, EntryNode] = {}
         self.leader = FakeLeader(
@@ -555,6 +558,7 @@
                     self._record_state(self._keys_by_request[request_id], reply)
 
     def _record_end(self, request_id: int, ended: JobEnded) -> None:
+        self.answers[request_id] = ended
         self.outcomes[self._keys_by_request[request_id]] = (
             self.clock.now_ms(),
             ended,
