Send the commands after one that can't be sent

The new holder polled a worker whose address can't be read; the ValueError ended the loop over the queued actions, and the first polls of all workers after it were dropped. Their polls counted as open for good, so these workers never counted as known and got no task.

Each action now runs by itself, and each command to a worker or the advisor gets exactly one reply: UNREACHED if its address can't be used, BAD_ORDER if it can't be encoded (so that the attempts of a task are used up instead of repeated for ever), LOST if its reply can't be read. COMMAND_FAILED and REPLY_UNREADABLE name the worker and its address, once in 10 s for each; clayfield_failed_commands counts them.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -291,6 +291,18 @@
         "an entry node confirms again that it waits for a paused job",
         ("job", "entries", "silent_ms", "runs", "fence"),
     )
+    COMMAND_FAILED = _Spec(
+        6022,
+        logbook.ERROR,
+        "a command to a worker could not be sent",
+        ("worker", "address", "error"),
+    )
+    REPLY_UNREADABLE = _Spec(
+        6023,
+        logbook.ERROR,
+        "a reply of a worker could not be read; it counts as lost",
+        ("worker", "address", "error"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -30,6 +30,7 @@
 from clayfield.node.workers import WorkerCommands
 from clayfield.pool import (
     ConnectNode,
+    EntryAction,
     EntryNode,
     PollWorker,
     PoolTiming,
@@ -142,7 +143,7 @@
         self._server = HttpServer(reactor, self._on_request, self._get_limits)
         self._readiness = HttpServer(reactor, self._on_readiness, HttpLimits)
         self._pending: dict[int, _PendingRequest] = {}
-        self._metrics = EntryMetrics(self._entry)
+        self._metrics = EntryMetrics(self._entry, self._commands)
         self._metrics_server = MetricsServer(reactor, self._metrics)
         self._last_request_id = 0
         self._ticks = 0
@@ -345,27 +346,30 @@
     def run_actions(self) -> None:
         """Runs the actions that the entry node's logic has queued."""
         for action in self._entry.take_actions():
-            match action:
-                case SendToNode(node=node, message=message):
-                    self._streams.send(node, message)
-                case StartRun():
-                    self._commands.start(action)
-                case PollWorker():
-                    self._commands.poll(action)
-                case StopRun():
-                    self._commands.stop(action)
-                case ThrottleRun():
-                    self._commands.throttle(action)
-                case RequestAdvice():
-                    self._commands.request_advice(action)
-                case ReplyToCaller(request_id=request_id, ended=ended):
-                    self._reply_to_job(request_id, ended)
-                case ReplyToCancel(request_id=request_id, is_found=is_found):
-                    self._reply_to_cancel(request_id, is_found)
-                case ReplyToStateRequest(request_id=request_id, reply=reply):
-                    self._reply_to_state(request_id, reply)
-                case ConnectNode(node=node):
-                    self._streams.connect(box_of(node))
+            self._run_guarded(lambda action=action: self._run_action(action))
+
+    def _run_action(self, action: EntryAction) -> None:
+        match action:
+            case SendToNode(node=node, message=message):
+                self._streams.send(node, message)
+            case StartRun():
+                self._commands.start(action)
+            case PollWorker():
+                self._commands.poll(action)
+            case StopRun():
+                self._commands.stop(action)
+            case ThrottleRun():
+                self._commands.throttle(action)
+            case RequestAdvice():
+                self._commands.request_advice(action)
+            case ReplyToCaller(request_id=request_id, ended=ended):
+                self._reply_to_job(request_id, ended)
+            case ReplyToCancel(request_id=request_id, is_found=is_found):
+                self._reply_to_cancel(request_id, is_found)
+            case ReplyToStateRequest(request_id=request_id, reply=reply):
+                self._reply_to_state(request_id, reply)
+            case ConnectNode(node=node):
+                self._streams.connect(box_of(node))
 
 
 def _reply(request: HttpRequest, reply: HttpReply) -> None:
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -13,6 +13,7 @@
     HttpServer,
 )
 from clayfield.node.settings import NodeSettings
+from clayfield.node.workers import WorkerCommands
 from clayfield.pool import EntryNode
 from clayfield.wire.cluster import JobEnded
 
@@ -55,9 +56,10 @@
 class EntryMetrics(NodeMetrics):
     """The metrics of an entry node."""
 
-    def __init__(self, entry: EntryNode):
+    def __init__(self, entry: EntryNode, commands: WorkerCommands):
         super().__init__()
         self._entry = entry
+        self._commands = commands
         self._jobs_ended = Counter(
             "clayfield_jobs_ended_total",
             "Jobs answered, by queue, verdict and reason.",
@@ -94,6 +96,11 @@
         self._set("ready", "Whether it takes callers.", int(entry.is_ready))
         self._set("config_version", "In force.", entry.routes.version)
         self._set("epoch", "Of the latest grant.", entry.grant.epoch)
+        self._set(
+            "failed_commands",
+            "Commands not sent and replies not read.",
+            self._commands.failed,
+        )
         dispatcher = entry.dispatcher
         self._set("holding", "Whether it holds workers.", int(bool(dispatcher)))
         if dispatcher is None:
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -2,15 +2,23 @@
 
 The holder is the entry node that schedules the workers; it also requests
 tickets from the advisor here, which say which workers may run a step.
+
+A command that can't be sent, or a reply that can't be read, ends with a failed
+reply for its own worker and doesn't affect the commands after it.
 """
 
+import traceback
 from collections.abc import Callable
 
 from twisted.internet import interfaces
+from twisted.python.failure import Failure
 
 from clayfield.base import Clock
+from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 from clayfield.node.httpclient import (
     MAX_IDLE_CONNECTIONS,
+    CallOutcome,
     CallResult,
     ConnectionPool,
     IdleConnections,
@@ -18,7 +26,10 @@
 from clayfield.node.interfaces import WorkerProtocol
 from clayfield.pool import (
     Advice,
+    CommandReply,
+    CommandResult,
     EntryNode,
+    PollReply,
     PollWorker,
     RequestAdvice,
     StartRun,
@@ -34,9 +45,11 @@
 ADVICE_TIMEOUT_S = 5.0
 MS_PER_S = 1000.0
 POOL_IDLE_S = 10.0
+# Least time between two log lines about the failures of one worker.
+LOG_INTERVAL_MS = 10_000.0
 
 Callback = Callable[[], None]
-OnResult = Callable[[CallResult], None]
+Reply = CommandReply | PollReply | Advice
 
 
 class WorkerCommands:
@@ -75,86 +88,184 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._idle_connections = IdleConnections(MAX_IDLE_CONNECTIONS)
         self._last_used_s: dict[str, float] = {}
+        self._log_filter = RepeatFilter(clock, LOG_INTERVAL_MS)
+        self._failed = 0
+
+    @property
+    def failed(self) -> int:
+        """Number of commands not sent and of replies not read, since start."""
+        return self._failed
 
     def start(self, command: StartRun) -> None:
         """Sends a request to start a run."""
         sent_ms = self._clock.now_ms()
 
-        def on_result(result: CallResult) -> None:
+        def on_reply(reply: CommandReply) -> None:
             self._entry.on_start_reply(
                 command.worker,
                 command.task_id,
                 command.number,
                 sent_ms,
-                self._protocol.read_command_reply(result),
+                reply,
             )
-            self._schedule_actions()
 
-        request = self._protocol.write_start(command)
-        self._call(command.address, request, COMMAND_TIMEOUT_S, on_result)
+        call = _Call(
+            command.worker,
+            command.address,
+            COMMAND_TIMEOUT_S,
+            lambda: self._protocol.write_start(command),
+            self._protocol.read_command_reply,
+            CommandReply,
+            on_reply,
+        )
+        self._send(call)
 
     def stop(self, command: StopRun) -> None:
         """Sends a request to stop a run."""
         sent_ms = self._clock.now_ms()
 
-        def on_result(result: CallResult) -> None:
+        def on_reply(reply: CommandReply) -> None:
             self._entry.on_stop_reply(
                 command.worker,
                 command.task_id,
                 command.number,
                 sent_ms,
-                self._protocol.read_command_reply(result),
+                reply,
             )
-            self._schedule_actions()
 
-        request = self._protocol.write_stop(command)
-        self._call(command.address, request, COMMAND_TIMEOUT_S, on_result)
+        call = _Call(
+            command.worker,
+            command.address,
+            COMMAND_TIMEOUT_S,
+            lambda: self._protocol.write_stop(command),
+            self._protocol.read_command_reply,
+            CommandReply,
+            on_reply,
+        )
+        self._send(call)
 
     def throttle(self, command: ThrottleRun) -> None:
         """Sends a request to throttle a run."""
-        request = self._protocol.write_throttle(command)
-        self._call(command.address, request, COMMAND_TIMEOUT_S, _ignore_result)
+        call = _Call(
+            command.worker,
+            command.address,
+            COMMAND_TIMEOUT_S,
+            lambda: self._protocol.write_throttle(command),
+            self._protocol.read_command_reply,
+            CommandReply,
+            _ignore_reply,
+        )
+        self._send(call)
 
     def poll(self, command: PollWorker) -> None:
         """Sends a poll: renews the lease and lists the worker's runs."""
         sent_ms = self._clock.now_ms()
 
-        def on_result(result: CallResult) -> None:
+        def on_reply(reply: PollReply) -> None:
             self._entry.on_poll_reply(
-                command.worker,
-                command.poll_id,
-                sent_ms,
-                self._protocol.read_poll_reply(result),
+                command.worker, command.poll_id, sent_ms, reply
             )
-            self._schedule_actions()
 
-        request = self._protocol.write_poll(command)
-        timeout_s = command.wait_ms / MS_PER_S + POLL_MARGIN_S
-        self._call(command.address, request, timeout_s, on_result)
+        call = _Call(
+            command.worker,
+            command.address,
+            command.wait_ms / MS_PER_S + POLL_MARGIN_S,
+            lambda: self._protocol.write_poll(command),
+            self._protocol.read_poll_reply,
+            PollReply,
+            on_reply,
+        )
+        self._send(call)
 
     def request_advice(self, command: RequestAdvice) -> None:
         """Requests tickets; without an advisor the reply is negative."""
 
-        def on_result(result: CallResult) -> None:
-            advice = self._protocol.read_advice(result)
+        def on_reply(advice: Advice) -> None:
             self._entry.on_advice(command.request_id, advice)
-            self._schedule_actions()
 
         if not self._advisor_address:
-            self._entry.on_advice(command.request_id, Advice(False))
+            on_reply(Advice(False))
             return
-        request = self._protocol.write_advice_request(
-            command, self._advisor_address
+        call = _Call(
+            "advisor",
+            self._advisor_address,
+            ADVICE_TIMEOUT_S,
+            lambda: self._protocol.write_advice_request(
+                command, self._advisor_address
+            ),
+            self._protocol.read_advice,
+            lambda _: Advice(False),
+            on_reply,
         )
-        self._call(self._advisor_address, request, ADVICE_TIMEOUT_S, on_result)
+        self._send(call)
 
-    def _call(
-        self,
-        address: str,
-        request: bytes,
-        timeout_s: float,
-        on_result: OnResult,
-    ) -> None:
+    def _send(self, call: "_Call") -> None:
+        """Sends a request; passes on a failed reply if that raises."""
+        try:
+            request = call.write()
+        except Exception:
+            self._log_failure(Event.COMMAND_FAILED, call)
+            self._fail(call, CommandResult.BAD_ORDER)
+            return
+        try:
+            pool = self._pool_of(call.address)
+        except ValueError:
+            self._log_failure(Event.COMMAND_FAILED, call)
+            self._fail(call, CommandResult.UNREACHED)
+            return
+        calling = pool.call(request, call.timeout_s)
+        calling.addErrback(self._to_lost_result, call)
+        calling.addCallback(self._on_result, call)
+
+    def _fail(self, call: "_Call", result: CommandResult) -> None:
+        """Passes on the reply to a request of which no byte was sent.
+
+        This happens in a later iteration of the event loop, as with any other
+        reply, so that the sender is not called back while it sends.
+        """
+        self._reactor.callLater(
+            0, self._deliver, call, call.make_failed_reply(result)
+        )
+
+    def _on_result(self, result: CallResult, call: "_Call") -> None:
+        """Decodes a response; one that can't be decoded counts as lost."""
+        try:
+            reply = call.read(result)
+        except Exception:
+            self._log_failure(Event.REPLY_UNREADABLE, call)
+            reply = call.make_failed_reply(CommandResult.LOST)
+        self._deliver(call, reply)
+
+    def _to_lost_result(self, failure: Failure, call: "_Call") -> CallResult:
+        """Returns the result of a request that failed in an unexpected way."""
+        try:
+            failure.raiseException()
+        except Exception:
+            self._log_failure(Event.COMMAND_FAILED, call)
+        return CallResult(CallOutcome.LOST)
+
+    def _log_failure(self, event: Event, call: "_Call") -> None:
+        """Counts the exception that is being handled, and logs it if due."""
+        self._failed += 1
+        if not self._log_filter.is_due(f"{event.name} {call.receiver}"):
+            return
+        emit(
+            event,
+            worker=call.receiver,
+            address=call.address,
+            error=traceback.format_exc(limit=-2),
+        )
+
+    def _deliver(self, call: "_Call", reply: Reply) -> None:
+        call.on_reply(reply)
+        self._schedule_actions()
+
+    def _pool_of(self, address: str) -> ConnectionPool:
+        """Returns the connections to an address.
+
+        Raises:
+            ValueError: the address is not IP:PORT.
+        """
         pool = self._pools.get(address)
         if pool is None:
             pool = ConnectionPool(
@@ -162,7 +273,7 @@
             )
             self._pools[address] = pool
         self._last_used_s[address] = self._reactor.seconds()
-        pool.call(request, timeout_s).addCallback(on_result)
+        return pool
 
     def drop_unused(self) -> None:
         """Closes the connections to addresses unused for `POOL_IDLE_S`."""
@@ -178,5 +289,47 @@
             pool.close()
 
 
-def _ignore_result(result: CallResult) -> None:
-    """Drops the result of a throttle command."""
+class _Call:
+    """A request to a worker or the advisor, and how its reply is handled.
+
+    Attributes:
+        receiver: name of the worker, for the log.
+        address: IP:PORT of the receiver.
+        timeout_s: time after which the reply counts as lost, in s.
+        write: returns the encoded request.
+        read: returns the reply in a response.
+        make_failed_reply: returns the reply that stands for a failure.
+        on_reply: called with the reply exactly once.
+    """
+
+    __slots__ = (
+        "address",
+        "make_failed_reply",
+        "on_reply",
+        "read",
+        "receiver",
+        "timeout_s",
+        "write",
+    )
+
+    def __init__(
+        self,
+        receiver: str,
+        address: str,
+        timeout_s: float,
+        write: Callable[[], bytes],
+        read: Callable[[CallResult], Reply],
+        make_failed_reply: Callable[[CommandResult], Reply],
+        on_reply: Callable[[Reply], None],
+    ):
+        self.receiver = receiver
+        self.address = address
+        self.timeout_s = timeout_s
+        self.write = write
+        self.read = read
+        self.make_failed_reply = make_failed_reply
+        self.on_reply = on_reply
+
+
+def _ignore_reply(reply: CommandReply) -> None:
+    """Drops the reply to a throttle command."""
