Reject heartbeats that name no worker to use

A heartbeat of another writer was answered 200 and handed on as a worker: its address was not checked, any state but "ready" counted as draining, and numbers had no bounds. Under the id of a worker that serves and with a higher number it hid that worker for good, as its own later heartbeats counted as outdated.

Cause: the protocols checked the types of the fields only.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -303,6 +303,12 @@
         "a reply of a worker could not be read; it counts as lost",
         ("worker", "address", "error"),
     )
+    HEARTBEAT_REJECTED = _Spec(
+        6024,
+        logbook.WARNING,
+        "a heartbeat names no worker to use",
+        ("worker", "error"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -12,6 +12,7 @@
 
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 from clayfield.cluster import (
     Broadcast,
     ControlNode,
@@ -30,6 +31,7 @@
     LeaveCall,
     OperatorProtocol,
     ReadCall,
+    RejectedHeartbeat,
     WriteCall,
 )
 from clayfield.node.metrics import ControlMetrics, MetricsServer
@@ -47,6 +49,8 @@
 # compute the names of the others; later stores use their creation time.
 FIRST_STORE_ID = 0
 STOP_DELAY_S = 0.3
+# Least time between two log lines about rejected heartbeats of one name.
+LOG_INTERVAL_MS = 10_000.0
 
 
 class ControlProcess(NodeProcess, StreamListener):
@@ -89,9 +93,9 @@
             reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
         )
         self._server = HttpServer(reactor, self._on_request, _make_limits)
-        self._metrics_server = MetricsServer(
-            reactor, ControlMetrics(self._control)
-        )
+        self._metrics = ControlMetrics(self._control)
+        self._metrics_server = MetricsServer(reactor, self._metrics)
+        self._log_filter = RepeatFilter(self._clock, LOG_INTERVAL_MS)
         self._pending_requests: dict[int, HttpRequest] = {}
         self._last_request_id = 0
         self._ticks = 0
@@ -173,6 +177,8 @@
                 self._on_read(request)
             case HeartbeatCall(info=info):
                 self._on_heartbeat(request, info)
+            case RejectedHeartbeat():
+                self._on_rejected_heartbeat(request, call)
             case LeaveCall(name=name):
                 self._control.on_worker_removed(name)
                 _reply(request, HttpReply(200))
@@ -185,6 +191,15 @@
         self._control.on_worker_heartbeat(info)
         _reply(request, HttpReply(200))
 
+    def _on_rejected_heartbeat(
+        self, request: HttpRequest, call: RejectedHeartbeat
+    ) -> None:
+        """Replies to a heartbeat of another writer, which is not recorded."""
+        self._metrics.on_heartbeat_rejected()
+        if self._log_filter.is_due(call.name):
+            emit(Event.HEARTBEAT_REJECTED, worker=call.name, error=call.error)
+        _reply(request, call.reply)
+
     def _on_write(self, request: HttpRequest, call: WriteCall) -> None:
         """Starts a write of the configuration, or redirects to the leader."""
         self._last_request_id += 1
--- a/packages/node/src/clayfield/node/interfaces.py
+++ b/packages/node/src/clayfield/node/interfaces.py
@@ -151,6 +151,23 @@
         self.info = info
 
 
+class RejectedHeartbeat:
+    """A heartbeat that names no worker to use.
+
+    Attributes:
+        name: name that the sender gave.
+        error: what can't be used, as a sentence.
+        reply: the response to the sender.
+    """
+
+    __slots__ = ("error", "name", "reply")
+
+    def __init__(self, name: str, error: str, reply: HttpReply):
+        self.name = name
+        self.error = error
+        self.reply = reply
+
+
 class LeaveCall:
     """A worker's announcement that it leaves the pool."""
 
@@ -160,7 +177,14 @@
         self.name = name
 
 
-OperatorCall = WriteCall | ReadCall | HeartbeatCall | LeaveCall | HttpReply
+OperatorCall = (
+    WriteCall
+    | ReadCall
+    | HeartbeatCall
+    | RejectedHeartbeat
+    | LeaveCall
+    | HttpReply
+)
 
 
 class OperatorProtocol(abc.ABC):
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -122,6 +122,15 @@
     def __init__(self, control: ControlNode):
         super().__init__()
         self._control = control
+        self._rejected = Counter(
+            "clayfield_heartbeats_rejected_total",
+            "Heartbeats that name no worker to use.",
+            registry=self._registry,
+        )
+
+    def on_heartbeat_rejected(self) -> None:
+        """Counts a heartbeat that names no worker to use."""
+        self._rejected.inc({})
 
     def _update(self) -> None:
         control = self._control
--- a/packages/node/src/clayfield/node/native/callers.py
+++ b/packages/node/src/clayfield/node/native/callers.py
@@ -22,6 +22,7 @@
     SubmitCall,
 )
 from clayfield.pool import Routes
+from clayfield.wire.checks import find_steps_error
 from clayfield.wire.cluster import JobEnded, JobStateReply
 from clayfield.wire.jobs import (
     MAX_TASKS,
@@ -32,7 +33,6 @@
     Schedule,
     Step,
     Verdict,
-    find_step_error,
 )
 
 MS_PER_S = 1000.0
@@ -186,7 +186,7 @@
             ErrorKind.TOO_LARGE, f"spec over {MAX_SPEC_BYTES}."
         )
     steps = tuple(_to_step(step) for step in body.steps)
-    error = find_step_error(steps)
+    error = find_steps_error(steps)
     if error:
         raise ClayfieldError(ErrorKind.BAD_FIELD, error)
     _check_schedule(body.schedule)
--- a/packages/node/src/clayfield/node/native/operators.py
+++ b/packages/node/src/clayfield/node/native/operators.py
@@ -16,8 +16,10 @@
     OperatorCall,
     OperatorProtocol,
     ReadCall,
+    RejectedHeartbeat,
     WriteCall,
 )
+from clayfield.wire.checks import DECODE_ERRORS, find_heartbeat_error
 from clayfield.wire.jobs import (
     Limits,
     Route,
@@ -120,7 +122,7 @@
         return decoder.decode(body)
     except msgspec.ValidationError as exc:
         raise ClayfieldError(ErrorKind.BAD_FIELD, f"{exc}.") from exc
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         raise ClayfieldError(ErrorKind.BAD_JSON, f"{exc}.") from exc
 
 
@@ -166,23 +168,37 @@
         raise ClayfieldError(
             ErrorKind.NOT_FOUND, f"{request.method} is not served."
         )
+    try:
+        return HeartbeatCall(_read_worker_info(request, name))
+    except ClayfieldError as exc:
+        return RejectedHeartbeat(name, exc.problem.detail, _problem(exc))
+
+
+def _read_worker_info(request: HttpRequest, name: str) -> WorkerInfo:
+    """Returns the worker that a heartbeat describes.
+
+    Raises:
+        ClayfieldError: of kind BAD_JSON or BAD_FIELD.
+    """
     heartbeat = _decode(request.body, _heartbeat_decoder)
-    return HeartbeatCall(
-        WorkerInfo(
-            name,
-            heartbeat.service,
-            heartbeat.address,
-            heartbeat.hall,
-            heartbeat.state,
-            heartbeat.sequence,
-            heartbeat.cpu,
-            heartbeat.memory_mb,
-            heartbeat.gpu,
-            heartbeat.labels,
-            heartbeat.rack,
-            heartbeat.born_ms,
-        )
+    info = WorkerInfo(
+        name,
+        heartbeat.service,
+        heartbeat.address,
+        heartbeat.hall,
+        heartbeat.state,
+        heartbeat.sequence,
+        heartbeat.cpu,
+        heartbeat.memory_mb,
+        heartbeat.gpu,
+        heartbeat.labels,
+        heartbeat.rack,
+        heartbeat.born_ms,
     )
+    error = find_heartbeat_error(info)
+    if error:
+        raise ClayfieldError(ErrorKind.BAD_FIELD, error)
+    return info
 
 
 def _to_table(routing: _Routing) -> RoutingTable:
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -21,6 +21,7 @@
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
 from clayfield.pool.timing import PoolTiming
+from clayfield.wire.checks import find_heartbeat_error
 from clayfield.wire.cluster import (
     CancelJob,
     CancelReply,
@@ -269,6 +270,9 @@
         return push.version > self.routes.version
 
     def _on_worker_heartbeat(self, info: WorkerInfo) -> None:
+        if find_heartbeat_error(info):
+            # A control node of an earlier version passes it on unchecked.
+            return
         existing = self._workers.get(info.name)
         if existing and info.is_older_than(existing):
             log_ignored(info, existing)
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -57,6 +57,7 @@
     Route,
     RoutingTable,
     Schedule,
+    Service,
     Step,
     WorkerInfo,
     WorkerState,
@@ -160,7 +161,7 @@
             info = WorkerInfo(
                 name,
                 "service",
-                f"{name}:1",
+                _make_address(hall, number),
                 hall,
                 WorkerState.READY,
                 1,
@@ -390,6 +391,14 @@
         for node in self.entries:
             self._deliver(node, "control", WorkersPush((worker.info,)))
 
+    def send_foreign_heartbeat(self, info: WorkerInfo) -> None:
+        """Delivers a heartbeat of another writer to every entry node.
+
+        At its address no connection is possible, unless it is a worker's.
+        """
+        for node in self.entries:
+            self._deliver(node, "control", WorkersPush((info,)))
+
     def refuse_connections(self, worker: str) -> None:
         """Makes a worker refuse every connection; what runs there goes on."""
         self._refusing.add(worker)
@@ -591,7 +600,9 @@
 
     def _find_reachable(self, entry: EntryNode, name: str) -> FakeWorker | None:
         """Returns a worker, or None if the node cannot reach it."""
-        worker = self.workers[name]
+        worker = self.workers.get(name)
+        if worker is None:
+            return None
         is_unreachable = self._is_partitioned(entry.hall, worker.info.hall)
         is_unreachable = is_unreachable or name in self._isolated
         return None if is_unreachable else worker
@@ -719,7 +730,8 @@
             else:
                 send_reply(reply)
 
-        if request.worker in self._refusing:
+        is_refused = request.worker in self._refusing
+        if is_refused or request.worker not in self.workers:
             send_reply(PollReply(CommandResult.UNREACHED))
         elif worker is None:
             self._fail_later(
@@ -756,7 +768,14 @@
 
 def _make_routing_table() -> RoutingTable:
     route = Route("queue", "host", "/q/", "service", 1500.0, 60.0, 0, 3, 1.6)
-    return RoutingTable(1, (route,), (), Limits())
+    services = (Service("service", 64, True),)
+    return RoutingTable(1, (route,), services, Limits())
+
+
+def _make_address(hall: str, number: int) -> str:
+    """Returns the address of a hall's worker with a number."""
+    rack, host = divmod(number, 250)
+    return f"10.{HALLS.index(hall)}.{rack}.{host + 1}:80"
 
 
 def _control_greeting(hall: str) -> NodeGreeting:
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -61,18 +61,6 @@
         return 0 if self.is_batch else self.cpu
 
 
-def find_step_error(steps: tuple[Step, ...]) -> str:
-    """Returns the first error in the steps of a job, "" if there is none."""
-    if not steps:
-        return "steps: name at least one."
-    for number, step in enumerate(steps):
-        if step.count < 1:
-            return f"steps[{number}].count is not above 0."
-        if any(not 0 <= earlier < number for earlier in step.after):
-            return f"steps[{number}].after is no earlier step."
-    return ""
-
-
 class Schedule(msgspec.Struct, frozen=True, array_like=True):
     """The times at which a job's steps run, by the wall clock.
 
