Tell the writers of heartbeats under one name apart

A heartbeat under the name of a worker that serves, with another service or another address and a higher number, hid that worker for good: its own heartbeats counted as outdated, and no job started on it any more. With the address of another worker, polls of the hidden one got "another incarnation" there, and its runs were given up while they went on. A worker of a service that no configuration names was polled, so a change of the holder waited for it.

Cause: heartbeats were ordered by number within a name, whoever sent them. A number says nothing about those of another writer. Control nodes and entry nodes now keep the latest heartbeat of each writer, known by service and address, which stay the same while a worker runs; a restart announces a later start. The holder uses the writer in use, or the first one whose service is named, and turns to another when that one is removed. A service may be used if the configuration or an open job names it, so jobs end after a configuration that drops their service, and a worker is used from the configuration on that names its service.

Weighed: ignoring all but the first writer hides a worker behind a foreign heartbeat that came first; the latest writer is the fault itself.

--- a/packages/cluster/src/clayfield/cluster/workers.py
+++ b/packages/cluster/src/clayfield/cluster/workers.py
@@ -23,8 +23,16 @@
         self.since_ms = since_ms
 
 
+# Name, service and address, which identify the sender of a heartbeat.
+_Writer = tuple[str, str, str]
+
+
 class WorkerDirectory:
-    """The latest heartbeat of each worker, by name."""
+    """The latest heartbeat of each worker, by name and writer.
+
+    A heartbeat of another writer under the name of a worker neither replaces
+    the worker's own heartbeats nor makes them count as outdated.
+    """
 
     __slots__ = (
         "_clock",
@@ -43,8 +51,8 @@
         """
         self._clock = clock
         self._expiry_ms = heartbeat_ms * MAX_MISSED_HEARTBEATS
-        self._infos: dict[str, WorkerInfo] = {}
-        self._last_heartbeat_ms: dict[str, float] = {}
+        self._infos: dict[_Writer, WorkerInfo] = {}
+        self._last_heartbeat_ms: dict[_Writer, float] = {}
         self._left: dict[str, _Left] = {}
 
     def on_heartbeat(self, info: WorkerInfo) -> bool:
@@ -57,12 +65,13 @@
         left = self._left.get(info.name)
         if left and info.born_ms <= left.born_ms:
             return False
-        previous = self._infos.get(info.name)
+        writer = (info.name, info.service, info.address)
+        previous = self._infos.get(writer)
         if previous and not previous.is_older_than(info):
             log_ignored(info, previous)
             return False
-        self._last_heartbeat_ms[info.name] = self._clock.now_ms()
-        self._infos[info.name] = info
+        self._last_heartbeat_ms[writer] = self._clock.now_ms()
+        self._infos[writer] = info
         return previous is None or info.has_other_content(previous)
 
     def on_leave(self, name: str) -> int:
@@ -72,26 +81,28 @@
             The start time of the incarnation that has left, in ms since 1970;
             0 if it is unknown.
         """
-        info = self._infos.pop(name, None)
-        self._last_heartbeat_ms.pop(name, None)
-        born_ms = info.born_ms if info else 0
+        born_ms = 0
+        for writer, info in list(self._infos.items()):
+            if info.name == name:
+                born_ms = max(born_ms, info.born_ms)
+                self._remove(writer)
         self._left[name] = _Left(born_ms, self._clock.now_ms())
         return born_ms
 
     def remove_expired(self) -> None:
         """Removes the workers that missed too many heartbeats."""
         cutoff_ms = self._clock.now_ms() - self._expiry_ms
-        for name, last_ms in list(self._last_heartbeat_ms.items()):
+        for writer, last_ms in list(self._last_heartbeat_ms.items()):
             if last_ms < cutoff_ms:
-                del self._last_heartbeat_ms[name]
-                del self._infos[name]
+                self._remove(writer)
         for name, left in list(self._left.items()):
             if left.since_ms < cutoff_ms:
                 del self._left[name]
 
+    def _remove(self, writer: _Writer) -> None:
+        del self._last_heartbeat_ms[writer]
+        del self._infos[writer]
+
     def all(self) -> tuple[WorkerInfo, ...]:
         """Returns the latest heartbeats."""
         return tuple(self._infos.values())
-
-    def __contains__(self, name: str) -> bool:
-        return name in self._infos
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -134,6 +134,11 @@
         """Number of jobs that have not ended."""
         return len(self._jobs.by_key)
 
+    @property
+    def services(self) -> set[str]:
+        """Names of the services of the open jobs."""
+        return {open_job.job.service for open_job in self._jobs.by_key.values()}
+
     def take_actions(self) -> list[PoolAction]:
         """Returns the actions collected since the last call."""
         for entry, probe in self._pausing.sessions.probes:
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -21,6 +21,7 @@
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
 from clayfield.pool.timing import PoolTiming
+from clayfield.pool.worker_registry import WorkerRegistry
 from clayfield.wire.checks import find_heartbeat_error
 from clayfield.wire.cluster import (
     CancelJob,
@@ -79,9 +80,11 @@
         self._is_hall_only = False
         self._open_nodes: dict[str, NodeGreeting] = {}
         self._last_connected_ms: dict[str, float] = {}
-        self._workers: dict[str, WorkerInfo] = {}
+        self._workers = WorkerRegistry()
+        # Names whose heartbeats describe no worker of a known service.
+        self._unused_names: set[str] = set()
         # Workers that have left and may still run tasks, with the time.
-        self._left_workers: dict[str, tuple[float, WorkerInfo]] = {}
+        self._left_workers: list[tuple[float, WorkerInfo]] = []
         self._kept_counts: dict[str, int] = {}
         self._has_kept_jobs = False
         # The last node that reported, as the holder, no use of kept jobs.
@@ -138,7 +141,7 @@
     @property
     def known_workers(self) -> set[str]:
         """Names of the workers that this node has received a heartbeat of."""
-        return set(self._workers)
+        return set(self._workers.names())
 
     @property
     def open_jobs(self) -> int:
@@ -193,7 +196,7 @@
         if recipient == self._workers_sent_to or self.holder == self.node:
             return
         self._workers_sent_to = recipient
-        infos = tuple(self._workers.values())
+        infos = self._workers.all()
         self._actions.append(SendToNode(self.holder, WorkersPush(infos)))
 
     # Nodes.
@@ -227,8 +230,8 @@
             case WorkersPush(workers=workers):
                 for info in workers:
                     self._on_worker_heartbeat(info)
-            case WorkerLeft(name=name, born_ms=born_ms):
-                self._on_worker_removed(name, born_ms)
+            case WorkerLeft():
+                self._on_worker_removed(message)
             case SubmitJob():
                 self._on_submit(node, message)
             case CancelJob():
@@ -253,6 +256,8 @@
                     _route_to_kept_jobs(
                         self.dispatcher.kept_jobs, node, message
                     )
+                    # Loaded jobs may be of a service that is not named.
+                    self._use_waiting_workers()
 
     def on_config(self, table: RoutingTable) -> bool:
         """Activates a configuration if its version is newer.
@@ -263,6 +268,7 @@
         if table.version <= self.routes.version:
             return False
         self.routes = Routes(table)
+        self._use_waiting_workers()
         return True
 
     def needs_config(self, push: ConfigPush) -> bool:
@@ -273,42 +279,84 @@
         if find_heartbeat_error(info):
             # A control node of an earlier version passes it on unchecked.
             return
-        existing = self._workers.get(info.name)
-        if existing and info.is_older_than(existing):
-            log_ignored(info, existing)
+        latest = self._workers.put(info)
+        if latest:
+            log_ignored(info, latest)
+        elif self.dispatcher and self._use_worker(self.dispatcher, info.name):
+            self._broadcast(ENTRY_ROLE, WorkersPush((info,)))
+
+    def _use_worker(self, dispatcher: Dispatcher, name: str) -> bool:
+        """Passes the latest heartbeat of a worker to the dispatcher.
+
+        A worker of a service that neither the configuration nor an open job
+        names waits until one does; an open job goes on after a configuration
+        that no longer names its service.
+
+        Returns:
+            Whether the dispatcher lacked the worker.
+        """
+        former = dispatcher.fleet.workers.get(name)
+        in_use = former.info if former else None
+        # Before the first configuration any service may be named.
+        services = self.routes.services if self.routes.version else None
+        info = self._workers.select(name, services, in_use)
+        info = info or self._workers.select(name, dispatcher.services)
+        if info is None:
+            self._unused_names.add(name)
+            return False
+        self._unused_names.discard(name)
+        if not self._is_scheduled_here(info):
+            return False
+        dispatcher.on_worker_heartbeat(info)
+        return in_use is None
+
+    def _use_waiting_workers(self) -> None:
+        """Uses the workers whose service has become known since."""
+        if self.dispatcher is None or not self._unused_names:
             return
-        self._workers[info.name] = info
-        if self.dispatcher and self._is_scheduled_here(info):
-            is_new = info.name not in self.dispatcher.fleet.workers
-            self.dispatcher.on_worker_heartbeat(info)
-            if is_new:
-                self._broadcast(ENTRY_ROLE, WorkersPush((info,)))
-
-    def _on_worker_removed(self, name: str, born_ms: int) -> None:
-        self._forget_worker(name, born_ms)
-        if self.dispatcher:
-            self.dispatcher.fleet.on_worker_left(name, born_ms)
+        self._unused_names.intersection_update(self._workers.names())
+        used = [
+            name
+            for name in list(self._unused_names)
+            if self._use_worker(self.dispatcher, name)
+        ]
+        if used:
+            workers = self.dispatcher.fleet.workers
+            infos = tuple(workers[name].info for name in used)
+            self._broadcast(ENTRY_ROLE, WorkersPush(infos))
+
+    def _on_worker_removed(self, left: WorkerLeft) -> None:
+        self._forget_worker(left.name, left.born_ms, left.address)
+        if self.dispatcher is None:
+            return
+        in_use = self.dispatcher.fleet.workers.get(left.name)
+        if in_use and left.address in ("", in_use.info.address):
+            self.dispatcher.fleet.on_worker_left(left.name, left.born_ms)
 
-    def _forget_worker(self, name: str, born_ms: int) -> None:
-        """Drops a worker's heartbeat, unless it is of a later incarnation.
+    def _forget_worker(self, name: str, born_ms: int, address: str) -> None:
+        """Drops a worker's heartbeats, unless they are of a later incarnation.
 
         Args:
             name: name of the worker.
             born_ms: start time of the incarnation that has ended, in ms since
                 1970; 0 for any.
+            address: address of the writer that described it, "" for any.
         """
-        info = self._workers.get(name)
-        if info and not (born_ms and info.born_ms > born_ms):
-            del self._workers[name]
-            self._drop_ended_leases()
-            self._left_workers[name] = (self._clock.now_ms(), info)
+        now_ms = self._clock.now_ms()
+        self._drop_ended_leases()
+        for info in self._workers.remove(name, born_ms, address):
+            self._left_workers.append((now_ms, info))
+        if name in self._workers:
+            self._unused_names.add(name)
 
     def _drop_ended_leases(self) -> None:
         """Drops the workers that have left whose leases have lapsed."""
         cutoff_ms = self._clock.now_ms() - self._timing.max_lease_ms
-        for name, (left_ms, _) in list(self._left_workers.items()):
-            if left_ms < cutoff_ms:
-                del self._left_workers[name]
+        self._left_workers = [
+            (left_ms, info)
+            for left_ms, info in self._left_workers
+            if left_ms >= cutoff_ms
+        ]
 
     def _is_scheduled_here(self, info: WorkerInfo) -> bool:
         """Returns whether a worker belongs to this node's dispatcher."""
@@ -326,6 +374,7 @@
             self._early_submits.append((self._clock.now_ms(), node, submit))
         elif submit.epoch >= self._min_submit_epoch:
             self.dispatcher.on_submit(node, submit)
+            self._use_waiting_workers()
 
     def _on_cancel(self, node: str, cancel: CancelJob) -> None:
         """Cancels an open job, or drops a deferred one without callers."""
@@ -418,9 +467,9 @@
             self.node,
         )
         self._send_status()
-        for info in self._workers.values():
-            if self._is_scheduled_here(info):
-                self.dispatcher.on_worker_heartbeat(info)
+        self._unused_names.clear()
+        for name in self._workers.names():
+            self._use_worker(self.dispatcher, name)
         self._add_left_workers(self.dispatcher)
         self._broadcast(ENTRY_ROLE, self._scheduled_workers())
         self.callers.mark_unsent(self.node)
@@ -439,10 +488,13 @@
         Their leases were not renewed after they had left.
         """
         self._drop_ended_leases()
-        for name, (left_ms, info) in self._left_workers.items():
-            if name not in self._workers and self._is_scheduled_here(info):
+        for left_ms, info in self._left_workers:
+            is_known = info.name in dispatcher.fleet.workers
+            if not is_known and self._is_scheduled_here(info):
                 dispatcher.on_worker_heartbeat(info)
-                dispatcher.fleet.on_worker_left(name, info.born_ms, left_ms)
+                dispatcher.fleet.on_worker_left(
+                    info.name, info.born_ms, left_ms
+                )
 
     @property
     def _needs_epoch(self) -> bool:
@@ -472,6 +524,7 @@
             self.dispatcher.fleet.may_have_kept_jobs = self._may_have_kept_jobs
             self.dispatcher.tick()
             self._announce_removed_workers(self.dispatcher)
+            self._use_waiting_workers()
         self.callers.tick()
         self._drop_old_early_submits(now_ms)
         if now_ms >= self._next_status_ms:
@@ -490,8 +543,9 @@
     def _announce_removed_workers(self, dispatcher: Dispatcher) -> None:
         """Notifies all entry nodes of the workers that were removed."""
         for info in dispatcher.fleet.take_removed_workers():
-            self._forget_worker(info.name, info.born_ms)
-            self._broadcast(ENTRY_ROLE, WorkerLeft(info.name, info.born_ms))
+            left = WorkerLeft(info.name, info.born_ms, info.address)
+            self._forget_worker(left.name, left.born_ms, left.address)
+            self._broadcast(ENTRY_ROLE, left)
 
     def _send_status(self) -> None:
         status = EntryStatus(
--- a/packages/pool/src/clayfield/pool/routing.py
+++ b/packages/pool/src/clayfield/pool/routing.py
@@ -9,9 +9,10 @@
     Attributes:
         version: version of the table, 0 if there is none.
         limits: limits of a single request.
+        services: names of the services.
     """
 
-    __slots__ = ("_by_host", "limits", "version")
+    __slots__ = ("_by_host", "limits", "services", "version")
 
     def __init__(self, table: RoutingTable | None = None):
         """Indexes a table.
@@ -21,6 +22,8 @@
         """
         self.version = table.version if table else 0
         self.limits = table.limits if table else Limits()
+        services = table.services if table else ()
+        self.services = frozenset(service.name for service in services)
         self._by_host: dict[str, list[Route]] = {}
         for route in table.routes if table else ():
             self._by_host.setdefault(route.host, []).append(route)
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -141,6 +141,7 @@
         self._message_delays_ms: dict[str, float] = {}
         self._keys_by_request: dict[int, str] = {}
         self._request_count = 0
+        self._version = 1
         self._epoch = 0
         self._grant = Grant(0, "")
         self._dead: set[str] = set()
@@ -399,6 +400,13 @@
         for node in self.entries:
             self._deliver(node, "control", WorkersPush((info,)))
 
+    def name_service(self, service: str) -> None:
+        """Activates a configuration that names no service but this one."""
+        self._version += 1
+        table = _make_routing_table(self._version, service)
+        for entry in self.entries.values():
+            entry.on_config(table)
+
     def refuse_connections(self, worker: str) -> None:
         """Makes a worker refuse every connection; what runs there goes on."""
         self._refusing.add(worker)
@@ -766,10 +774,12 @@
     return site
 
 
-def _make_routing_table() -> RoutingTable:
-    route = Route("queue", "host", "/q/", "service", 1500.0, 60.0, 0, 3, 1.6)
-    services = (Service("service", 64, True),)
-    return RoutingTable(1, (route,), services, Limits())
+def _make_routing_table(
+    version: int = 1, service: str = "service"
+) -> RoutingTable:
+    route = Route("queue", "host", "/q/", service, 1500.0, 60.0, 0, 3, 1.6)
+    services = (Service(service, 64, True),)
+    return RoutingTable(version, (route,), services, Limits())
 
 
 def _make_address(hall: str, number: int) -> str:
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -107,10 +107,13 @@
     Attributes:
         name: name of the worker.
         born_ms: start time of the incarnation, in ms since 1970; 0 for any.
+        address: address of the writer whose heartbeats described it, "" for
+            any.
     """
 
     name: str
     born_ms: int = 0
+    address: str = ""
 
 
 class EntryStatus(Message, frozen=True, tag=True):
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -222,8 +222,16 @@
     rack: str = ""
     born_ms: int = 0
 
+    def is_same_writer(self, other: "WorkerInfo") -> bool:
+        """Returns whether two heartbeats with one name have the same sender.
+
+        Service and address stay the same while a worker runs.
+        """
+        writer = (self.service, self.address)
+        return writer == (other.service, other.address)
+
     def is_older_than(self, other: "WorkerInfo") -> bool:
-        """Returns whether another heartbeat of the worker was sent later.
+        """Returns whether another heartbeat of the writer was sent later.
 
         The numbers of heartbeats start anew with each incarnation.
         """
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -10,12 +10,14 @@
 import pytest
 from clayfield_platform.operators import PlatformOperators
 
+from clayfield.cluster import Broadcast
 from clayfield.node.httpserver import HttpRequest
 from clayfield.node.interfaces import HeartbeatCall, RejectedHeartbeat
 from clayfield.node.native import NativeOperators
-from clayfield.testbed.pool_site import HOLDER, make_granted_site
+from clayfield.testbed.control_site import ControlSite
+from clayfield.testbed.pool_site import DEFAULT_STEP, HOLDER, make_granted_site
 from clayfield.wire.cluster import WorkersPush
-from clayfield.wire.jobs import Verdict, WorkerInfo, WorkerState
+from clayfield.wire.jobs import JobState, Verdict, WorkerInfo, WorkerState
 
 PLATFORM = {
     "service": "s",
@@ -185,3 +187,125 @@
     site.entries[HOLDER].on_message("control", push)
     assert "worker-new" in site.entries[HOLDER].known_workers
     assert "store-7" not in site.entries[HOLDER].known_workers
+
+
+def _count_ends(site, until_ms):
+    """Returns how many jobs, submitted one every 50 ms, are completed."""
+    for number in range(until_ms // 50):
+        site.submit("b-1/1", f"job-{number}", count=2)
+        site.run(50)
+    site.run(2000)
+    verdicts = [ended.verdict for _, ended in site.outcomes.values()]
+    return verdicts.count(Verdict.COMPLETED)
+
+
+HIDING = [
+    {"service": "stock", "sequence": 2**40},
+    {"service": "stock", "sequence": 2**40, "state": WorkerState.DRAINING},
+    {"service": "stock", "address": "10.9.9.9:80", "sequence": 2**40},
+    {"address": "10.9.9.9:80", "sequence": 2**40},
+    {"address": "of another worker", "sequence": 2**40, "cpu": 1},
+]
+
+
+def _hide(site, name, fields):
+    """Sends a foreign heartbeat under the name of a worker."""
+    fields = dict(fields)
+    if fields.get("address") == "of another worker":
+        names = list(site.workers)
+        other = names[names.index(name) - 1]
+        fields["address"] = site.workers[other].info.address
+    info = msgspec.structs.replace(site.workers[name].info, **fields)
+    site.send_foreign_heartbeat(info)
+
+
+@pytest.mark.parametrize("fields", HIDING)
+def test_foreign_heartbeat_under_the_name_of_a_worker_does_not_hide_it(fields):
+    # Its own later heartbeats counted as outdated, and it got no task again.
+    expected = _count_ends(make_granted_site(workers=1), 1000)
+    site = make_granted_site(workers=1)
+    for name in site.workers:
+        _hide(site, name, fields)
+    site.run(100)
+    for name in site.workers:
+        site.send_heartbeat(name)
+    assert _count_ends(site, 1000) == expected
+    assert site.find_violations() == []
+
+
+@pytest.mark.parametrize("fields", HIDING)
+def test_worker_under_a_foreign_name_is_used_and_drains_as_it_states(fields):
+    site = make_granted_site(workers=1)
+    name = "worker-a-0"
+    _hide(site, name, fields)
+    site.run(100)
+    site.drain_worker(name)
+    site.run(100)
+    count = len(site.runs)
+    site.submit("b-1/1", "job", count=3)
+    site.run(1000)
+    assert len(site.runs) > count
+    assert name not in {run.worker for run in site.runs[count:]}
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"service": "stock"}, {"address": "10.9.9.7:80"}],
+)
+def test_control_node_passes_on_a_worker_beside_its_foreign_namesake(fields):
+    control = ControlSite(1, seed=1)
+    node = next(iter(control.nodes.values()))
+    sound = _foreign(name="w-1")
+    node.on_worker_heartbeat(sound)
+    node.on_worker_heartbeat(
+        msgspec.structs.replace(sound, sequence=2**40, **fields)
+    )
+    drains = msgspec.structs.replace(
+        sound, sequence=2, state=WorkerState.DRAINING
+    )
+    node.take_actions()
+    node.on_worker_heartbeat(drains)
+    pushes = [
+        action.message
+        for action in node.take_actions()
+        if isinstance(action, Broadcast)
+    ]
+    assert pushes == [WorkersPush((drains,))]
+
+
+def test_worker_of_a_service_without_name_waits_for_its_configuration():
+    site = make_granted_site(workers=1)
+    info = _foreign(service="new", address="10.9.9.8:80")
+    site.send_foreign_heartbeat(info)
+    site.run(100)
+    holder = site.entries[HOLDER]
+    assert "store-7" not in holder.dispatcher.fleet.workers
+    site.name_service("new")
+    site.run(100)
+    assert "store-7" in holder.dispatcher.fleet.workers
+    site.name_service("service")
+    site.run(100)
+    assert "store-7" in holder.dispatcher.fleet.workers
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_job_of_a_service_that_is_not_named_any_more_ends(is_kept):
+    site = make_granted_site()
+    for worker in site.workers.values():
+        worker.task_ms = 1500
+    step = msgspec.structs.replace(DEFAULT_STEP, estimate_ms=1500)
+    site.submit("c-1/1", "job", count=4, is_kept=is_kept, template=step)
+    site.run(200)
+    site.name_service("other")
+    site.run(100)
+    site.kill(HOLDER)
+    site.run(200)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(4000)
+    site.request_state("c-1/1", "job")
+    site.run(300)
+    if is_kept:
+        assert site.reported_states["job"] is JobState.COMPLETED
+    else:
+        assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
+    assert len(site.runs) == 4
