Conclude nothing from a reply to a poll that is cut short

Their ends waited on the worker as the control log stored none; a reply lists 500 ends at most, and the holder took each run beyond them, listed neither as running nor as ended, as lost, and started its task again.

Cause: that a run is absent proves its end only if the reply is complete, and no part of the decision knew whether it was. A poll's reply now says so (is_complete): the platform's adapter knows its limit, the native protocol has has_more. Every conclusion from absence asks for it: a run that is lost, a stop that has taken effect, a worker that is empty and may be removed, jobs of an earlier holder that may be started. A new holder also waits beyond the handover time for a worker that answers and has not listed all its ends, since it renews that worker's lease and so a later record of these ends would count. A cut list is polled again at once. Ends are taken in the order of their numbers.

--- a/packages/node/src/clayfield/node/native/workers.py
+++ b/packages/node/src/clayfield/node/native/workers.py
@@ -147,6 +147,8 @@
         ended: the ended runs after `seen_upto`; replies to polls only.
         born_ms: start time of the worker's incarnation, in ms since 1970; 0 if
             not announced.
+        has_more: whether further runs have ended that `ended` leaves out, as
+            the reply would be too long; they follow once these are seen.
     """
 
     result: CommandResult
@@ -154,6 +156,7 @@
     running: list[RunningItem] = []
     ended: list[EndedItem] = []
     born_ms: int = 0
+    has_more: bool = False
 
 
 class AdviceRequestBody(msgspec.Struct):
@@ -271,6 +274,7 @@
                 for e in reply.ended
             ],
             reply.born_ms,
+            not reply.has_more,
         )
 
 
--- a/packages/pool/src/clayfield/pool/commands.py
+++ b/packages/pool/src/clayfield/pool/commands.py
@@ -144,9 +144,18 @@
         ended: runs that have ended there and are not yet acknowledged.
         born_ms: start time of the worker's incarnation, in ms since 1970; 0 if
             it is not reported.
+        is_complete: whether no further ends wait on the worker. A run that an
+            incomplete reply doesn't list may have ended.
     """
 
-    __slots__ = ("born_ms", "clock_ms", "ended", "result", "running")
+    __slots__ = (
+        "born_ms",
+        "clock_ms",
+        "ended",
+        "is_complete",
+        "result",
+        "running",
+    )
 
     def __init__(
         self,
@@ -155,12 +164,14 @@
         running: list[RunningRun] | None = None,
         ended: list[EndedRun] | None = None,
         born_ms: int = 0,
+        is_complete: bool = True,
     ):
         self.result = result
         self.clock_ms = clock_ms
         self.running = running or []
         self.ended = ended or []
         self.born_ms = born_ms
+        self.is_complete = is_complete
 
 
 class StartRun:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -109,13 +109,26 @@
     # Queries.
 
     def is_synced_since(self, since_ms: float) -> bool:
-        """Returns whether every worker has accepted a poll sent after a time.
+        """Returns whether all runs on all workers are known since a time.
 
-        The runs on all workers are then known, and no other holder can start
-        more.
+        Every worker has then replied completely to a poll sent after it, and
+        no other holder can start more.
         """
         return all(
-            worker.is_synced and worker.synced_ms > since_ms
+            worker.is_synced and worker.listed_ms > since_ms
+            for worker in self.workers.values()
+        )
+
+    def has_unlisted_ends(self) -> bool:
+        """Returns whether runs may have ended that no worker has listed yet.
+
+        The ends on an unreachable worker no longer matter once its lease has
+        lapsed: they are then recorded after the lapse.
+        """
+        now_ms = self._clock.now_ms()
+        return any(
+            worker.has_unlisted_ends
+            and (worker.is_reachable or now_ms <= worker.lease_ends_ms)
             for worker in self.workers.values()
         )
 
@@ -245,11 +258,12 @@
         """Removes a leaving worker that certainly runs nothing.
 
         Runs that another node has started since the last poll may be unknown
-        here, so it must have accepted one that was sent after it had left.
+        here, so it must have replied completely to one that was sent after it
+        had left.
         """
         if worker.left_ms is None or worker.runs:
             return
-        if worker.is_synced and worker.synced_ms >= worker.left_ms:
+        if worker.is_synced and worker.listed_ms >= worker.left_ms:
             self.on_worker_removed(worker.name)
 
     def on_worker_removed(self, name: str) -> None:
@@ -528,14 +542,20 @@
         self._on_reachable(worker)
         fence = poll_id // POLLS_PER_FENCE
         self._on_fence_accepted(worker, fence, now_ms)
-        for row in reply.ended:
+        for row in sorted(reply.ended, key=lambda row: row.sequence):
             self._on_ended(worker, row)
-        self._on_running(worker, reply.running, sent_ms)
+        self._on_running(worker, reply.running)
+        if sent_ms >= worker.synced_ms:
+            worker.has_unlisted_ends = not reply.is_complete
+        if reply.is_complete:
+            self._end_unlisted_runs(worker, reply.running, sent_ms)
         worker.next_poll_ms = now_ms + self._schedule.pause_ms(worker)
         self._throttle(worker, now_ms)
         if fence == self.fence:
             worker.is_synced = True
             worker.synced_ms = max(worker.synced_ms, sent_ms)
+            if reply.is_complete:
+                worker.listed_ms = max(worker.listed_ms, sent_ms)
         self._remove_if_empty(worker)
         if not worker.is_removed:
             self.poll_if_due(worker)
@@ -654,10 +674,7 @@
             worker.next_poll_ms = self._clock.now_ms()
             self.poll_if_due(worker)
 
-    def _on_running(
-        self, worker: Worker, rows: list[RunningRun], sent_ms: float
-    ) -> None:
-        listed = {(row.task_id, row.number): row for row in rows}
+    def _on_running(self, worker: Worker, rows: list[RunningRun]) -> None:
         for row in rows:
             existing = worker.runs.get(row.task_id)
             if existing and existing.number < row.number:
@@ -670,6 +687,18 @@
                 existing.speed_percent = row.speed_percent
                 existing.tail_latency_ms = row.tail_latency_ms
                 self._confirm_start(existing)
+
+    def _end_unlisted_runs(
+        self, worker: Worker, rows: list[RunningRun], sent_ms: float
+    ) -> None:
+        """Ends the runs that a complete reply lists nowhere.
+
+        Args:
+            worker: the worker.
+            rows: the runs that the reply lists as running.
+            sent_ms: time when the poll was sent, in ms.
+        """
+        listed = {(row.task_id, row.number) for row in rows}
         for run in list(worker.runs.values()):
             if (run.task_id, run.number) not in listed:
                 self._on_unlisted(worker, run, sent_ms)
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -563,7 +563,13 @@
         self._unresolved.clear()
 
     def _can_resolve(self, now_ms: float) -> bool:
-        """Returns whether every run of an earlier holder is known or over."""
+        """Returns whether every run of an earlier holder is known or over.
+
+        A run that has ended on a worker which could not list its end yet is
+        not known, however long ago it ended.
+        """
+        if self._fleet.has_unlisted_ends():
+            return False
         if now_ms - self._created_ms >= handover_ms(self._fleet.timing):
             return True
         is_discovery_over = now_ms - self._listening_since_ms >= DISCOVERY_MS
--- a/packages/pool/src/clayfield/pool/polling.py
+++ b/packages/pool/src/clayfield/pool/polling.py
@@ -72,7 +72,7 @@
         """Returns the time from a reply to the next poll, in ms."""
         if worker.has_unstored_ends:
             return UNSTORED_PAUSE_MS
-        if worker.runs:
+        if worker.runs or worker.has_unlisted_ends:
             return 0.0
         return max(0.0, self._idle_interval_ms - MAX_POLL_WAIT_MS)
 
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -40,7 +40,9 @@
             lapses and the runs on the worker end. Another node may be
             responsible for them.
         is_synced: whether the worker has accepted a poll of this holder,
-            and no fencing error since; its runs are then known.
+            and no fencing error since; its running runs are then known.
+        has_unlisted_ends: whether its latest reply was incomplete, so that
+            runs may have ended that it has not listed.
         is_removed: whether this incarnation has certainly ended.
         left_ms: time when it announced that it leaves, None before; it gets
             no tasks and no lease from then on.
@@ -64,6 +66,8 @@
         lapsed_ms: time when the lease was last known to have lapsed.
         last_reply_ms: time of the latest reply.
         synced_ms: sending time of the latest poll that the worker accepted.
+        listed_ms: sending time of the latest poll with a complete reply; every
+            run that had been started or had ended by then is known.
         speed: running mean of the expected duration of runs divided by the
             actual one; 1 for a worker of usual speed.
     """
@@ -79,6 +83,7 @@
         "_unstored_ends",
         "accepted_fence",
         "deferred_end_ms",
+        "has_unlisted_ends",
         "info",
         "is_synced",
         "is_removed",
@@ -90,6 +95,7 @@
         "last_reply_ms",
         "lease_ends_ms",
         "left_ms",
+        "listed_ms",
         "next_poll_ms",
         "synced_ms",
         "open_poll",
@@ -119,6 +125,7 @@
         self.raise_interval_ms = 600.0
         self.deferred_end_ms = 0.0
         self.is_synced = False
+        self.has_unlisted_ends = False
         self.is_removed = False
         self.left_ms: float | None = None
         self.is_reachable = True
@@ -131,6 +138,7 @@
         self.lease_ends_ms = now_ms
         self.last_reply_ms = now_ms
         self.synced_ms = -1.0
+        self.listed_ms = -1.0
         self.speed = 1.0
         self._clock_offset_ms: float | None = None
         self._free_cpu = info.cpu
--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -35,6 +35,7 @@
 THROTTLE_DELAY_MS = 100.0
 IDLE_TAIL_MS = 50.0
 SLOT_CPU = 6800
+MAX_LISTED_ENDS = 500
 # Sums of times differ by less than this because of rounding.
 ROUNDING_MS = 1e-6
 
@@ -166,6 +167,7 @@
         interference_ms: by how much one batch task at full speed raises the
             tail latency of the latency-sensitive tasks, in ms.
         enforces_capacity: whether it rejects a start without enough free CPU.
+        max_listed_ends: most ends that one reply to a poll lists.
     """
 
     def __init__(self, site: WorkerSite, info: WorkerInfo, task_ms: float):
@@ -177,6 +179,7 @@
         self.is_hung = False
         self.is_replaced = False
         self.enforces_capacity = True
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.interference_ms = 0.0
         self._site = site
         self._started_ms = 0.0
@@ -412,8 +415,9 @@
             CommandResult.DONE,
             self.clock_ms,
             running,
-            self._ended[:],
+            self._ended[: self.max_listed_ends],
             self.info.born_ms,
+            len(self._ended) < self.max_listed_ends,
         )
 
     def _checkpoint(self, run: ExecutedRun) -> str:
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -112,9 +112,22 @@
     """
 
     def __init__(
-        self, halls: tuple[str, ...], workers_per_hall: int, seed: int
+        self,
+        halls: tuple[str, ...],
+        workers_per_hall: int,
+        seed: int,
+        slots: int = 2,
     ):
+        """Creates a site that runs; no entry node has the grant yet.
+
+        Args:
+            halls: names of the halls, each with two entry nodes.
+            workers_per_hall: number of workers in each hall.
+            seed: the seed of all random numbers.
+            slots: number of default tasks that fit a worker at once.
+        """
         super().__init__()
+        self._slots = slots
         self.rng = random.Random(seed)
         self.runs: list[ExecutedRun] = []
         self.over_capacity: list[TaskId] = []
@@ -166,8 +179,8 @@
                 hall,
                 WorkerState.READY,
                 1,
-                2 * SLOT_CPU + 100,
-                1000,
+                self._slots * SLOT_CPU + 100,
+                self._slots * 500,
                 0,
                 ("kind", f"rack-{hall}"),
                 f"rack-{hall}",
