Limit a worker's lease by its jobs instead of its runs

The limit is the same for all runs of a job, so it is asked for once a job. The simulated site compares the runs of a task only with each other.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -365,8 +365,13 @@
         """
         if worker.left_ms is not None:
             return 0.0
+        # All runs of a job have the same limit.
+        runs_by_job = {
+            run.task.job if run.task else run.task_id.job: run
+            for run in worker.runs.values()
+        }
         limit_ms = min(
-            map(self._listener.lease_limit_ms, worker.runs.values()),
+            map(self._listener.lease_limit_ms, runs_by_job.values()),
             default=math.inf,
         )
         return min(self.timing.lease_ms, limit_ms - now_ms)
--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -253,7 +253,9 @@
         batch_jobs = self._site.batch_jobs
         if task_id.job in batch_jobs:
             return True
-        placed = sum(running.job not in batch_jobs for running in self._running)
+        placed = len(self._running)
+        if batch_jobs:
+            placed = sum(run.job not in batch_jobs for run in self._running)
         return (placed + 1) * SLOT_CPU <= self.info.cpu
 
     def _begin(self, request: StartRun) -> None:
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -501,16 +501,16 @@
 
     def find_restarts_after_end(self) -> list[tuple[ExecutedRun, ExecutedRun]]:
         """Returns pairs of an acknowledged end and a later run of the task."""
-        done = [
-            run
-            for run in self.runs
-            if run.kind is EndKind.DONE and run.is_acked
-        ]
+        by_task: dict[TaskId, list[ExecutedRun]] = {}
+        for run in self.runs:
+            by_task.setdefault(run.task_id, []).append(run)
         return [
             (ended, run)
-            for ended in done
-            for run in self.runs
-            if run.task_id == ended.task_id and run.start_ms > ended.end_ms
+            for runs in by_task.values()
+            for ended in runs
+            if ended.kind is EndKind.DONE and ended.is_acked
+            for run in runs
+            if run.start_ms > ended.end_ms
         ]
 
     def find_violations(self) -> list[object]:
