Reject numbers that can't be stored or sent to another node

Cause: messages and records hold 64-bit integers, JSON any. The write of the job's acceptance could not be encoded, was tried again for ever, and with it every change collected after it. Whatever gets past that, the job store's client takes no change that can't be encoded: the holder refuses such a job at once and goes on with the others.

--- a/packages/node/src/clayfield/node/native/callers.py
+++ b/packages/node/src/clayfield/node/native/callers.py
@@ -22,7 +22,7 @@
     SubmitCall,
 )
 from clayfield.pool import Routes
-from clayfield.wire.checks import find_steps_error
+from clayfield.wire.checks import DECODE_ERRORS, find_job_error
 from clayfield.wire.cluster import JobEnded, JobStateReply
 from clayfield.wire.jobs import (
     MAX_TASKS,
@@ -179,21 +179,21 @@
         body = _decoder.decode(content)
     except msgspec.ValidationError as exc:
         raise ClayfieldError(ErrorKind.BAD_FIELD, f"{exc}.") from exc
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         raise ClayfieldError(ErrorKind.BAD_JSON, f"{exc}.") from exc
     if len(body.spec.encode()) > MAX_SPEC_BYTES:
         raise ClayfieldError(
             ErrorKind.TOO_LARGE, f"spec over {MAX_SPEC_BYTES}."
         )
     steps = tuple(_to_step(step) for step in body.steps)
-    error = find_steps_error(steps)
-    if error:
-        raise ClayfieldError(ErrorKind.BAD_FIELD, error)
     _check_schedule(body.schedule)
     timeout_ms = body.timeout_ms or route.timeout_ms
     job = route.make_job(
         key, body.spec, steps, timeout_ms, body.keep, body.schedule
     )
+    error = find_job_error(job)
+    if error:
+        raise ClayfieldError(ErrorKind.BAD_FIELD, error)
     if job.task_count > MAX_TASKS:
         raise ClayfieldError(ErrorKind.TOO_LARGE, f"over {MAX_TASKS} tasks.")
     return job
--- a/packages/node/src/clayfield/node/native/operators.py
+++ b/packages/node/src/clayfield/node/native/operators.py
@@ -19,7 +19,11 @@
     RejectedHeartbeat,
     WriteCall,
 )
-from clayfield.wire.checks import DECODE_ERRORS, find_heartbeat_error
+from clayfield.wire.checks import (
+    DECODE_ERRORS,
+    find_heartbeat_error,
+    find_table_error,
+)
 from clayfield.wire.jobs import (
     Limits,
     Route,
@@ -145,6 +149,9 @@
         ClayfieldError: of kind BAD_CONFIG.
     """
     problems: list[str] = []
+    error = find_table_error(_to_table(routing))
+    if error:
+        problems.append(error)
     if routing.version < 1:
         problems.append(f"version {routing.version} is not above 0.")
     services = {service.name for service in routing.services}
--- a/packages/pool/src/clayfield/pool/job_store_client.py
+++ b/packages/pool/src/clayfield/pool/job_store_client.py
@@ -10,6 +10,8 @@
 become the holder.
 """
 
+import msgspec
+
 from clayfield.base import Clock
 from clayfield.pool.commands import SendToNode
 from clayfield.pool.worker import Worker
@@ -95,12 +97,18 @@
         """Whether certainly no other node is the holder yet."""
         return self._clock.now_ms() < self.confirmed_ms + AUTHORITY_MS
 
-    def write(self, change: JobChangeRecord) -> None:
+    def write(self, record: JobChangeRecord) -> None:
         """Adds a change to the next write.
 
         `on_written` returns the change once it is stored.
+
+        Raises:
+            ValueError: the change can't be encoded. In a write it would keep
+                every other change from being stored.
         """
-        self._unsent.append(change)
+        if not can_store(record.change):
+            raise ValueError(f"{type(record.change).__name__}: not encodable")
+        self._unsent.append(record)
 
     def withdraw_unsent_jobs(self) -> list[Job]:
         """Removes the jobs whose acceptance was never sent; returns them.
@@ -222,6 +230,15 @@
         self.actions.append(SendToNode(self._leader, load))
 
 
+def can_store(change: JobChange) -> bool:
+    """Returns whether a change can be encoded, and so be stored."""
+    try:
+        msgspec.msgpack.encode(change)
+    except (OverflowError, TypeError, UnicodeEncodeError):
+        return False
+    return True
+
+
 def _key_of(change: JobChange) -> str:
     """Returns the key of the job that a change applies to."""
     return change.job.key if isinstance(change, AcceptJob) else change.key
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -22,6 +22,7 @@
     AUTHORITY_MS,
     JobChangeRecord,
     JobStoreClient,
+    can_store,
 )
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.run_ends import RunOutcome
@@ -197,7 +198,7 @@
     def _accept(self, entry: str, submit: SubmitJob) -> None:
         """Opens an admitted job and writes its acceptance; else refuses it."""
         job = submit.job
-        if not self.store.has_authority:
+        if not can_store(AcceptJob(job)) or not self.store.has_authority:
             self._refuse(entry, submit, Reason.NOT_STORED)
             return
         if len(self._jobs.by_key) >= MAX_OPEN_JOBS:
--- a/packages/wire/src/clayfield/wire/checks.py
+++ b/packages/wire/src/clayfield/wire/checks.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from clayfield.wire.jobs import Step, WorkerInfo
+from clayfield.wire.jobs import Job, RoutingTable, Schedule, Step, WorkerInfo
 
 # What a decoder raises for data that can't be read. The last is raised for
 # deeply nested data.
@@ -54,6 +54,23 @@
     return not (address.is_unspecified or address.is_multicast or is_broadcast)
 
 
+def find_job_error(job: Job) -> str:
+    """Returns the first error in a job."""
+    return (
+        find_steps_error(job.steps)
+        or _find_schedule_error(job.schedule)
+        or _find_number_error(
+            {
+                "priority": job.priority,
+                "max_attempts": job.max_attempts,
+                "stretch": job.stretch,
+                "target_ms": job.target_ms,
+                "timeout_ms": job.timeout_ms,
+            }
+        )
+    )
+
+
 def find_steps_error(steps: tuple[Step, ...]) -> str:
     """Returns the first error in the steps of a job."""
     if not steps:
@@ -63,9 +80,66 @@
             return f"steps[{number}].count is not above 0."
         if any(not 0 <= earlier < number for earlier in step.after):
             return f"steps[{number}].after is no earlier step."
+        error = _find_number_error(
+            {
+                "count": step.count,
+                "cpu": step.cpu,
+                "memory_mb": step.memory_mb,
+                "gpu": step.gpu,
+                "estimate_ms": step.estimate_ms,
+                "max_per_worker": step.max_per_worker,
+                "target_ms": step.target_ms,
+            }
+        )
+        if error:
+            return f"steps[{number}].{error}"
     return ""
 
 
+def _find_schedule_error(schedule: Schedule | None) -> str:
+    if schedule is None:
+        return ""
+    error = _find_number_error(
+        {
+            "repeats": schedule.repeats,
+            "start_ms": schedule.start_ms,
+            "interval_ms": schedule.interval_ms,
+        }
+    )
+    return f"schedule.{error}" if error else ""
+
+
+def find_table_error(table: RoutingTable) -> str:
+    """Returns the first number in a configuration that can't be used."""
+    for route in table.routes:
+        error = _find_number_error(
+            {
+                "timeout_ms": route.timeout_ms,
+                "target_ms": route.target_ms,
+                "priority": route.priority,
+                "max_attempts": route.max_attempts,
+                "stretch": route.stretch,
+            }
+        )
+        if error:
+            return f"{route.name}: {error}"
+    for service in table.services:
+        numbers = {"max_connections": service.max_connections}
+        error = _find_number_error(numbers)
+        if error:
+            return f"{service.name}: {error}"
+    limits = table.limits
+    return _find_number_error(
+        {
+            "version": table.version,
+            "header_bytes": limits.header_bytes,
+            "body_bytes": limits.body_bytes,
+            "header_ms": limits.header_ms,
+            "idle_ms": limits.idle_ms,
+        }
+    )
+
+
 def _find_number_error(numbers: dict[str, float]) -> str:
     """Returns the first number that is not between 0 and `MAX_NUMBER`."""
     for name, number in numbers.items():
