End a failed message, request or action for itself alone

Where validation misses something, an exception took with it what stood behind it: the later messages of a frame, all messages that one loop iteration sent to a peer (one number over 64 bits in a heartbeat, and no other message of that moment went out, votes and appends included), the answer to a caller on an open connection, the later messages of a control node.

Each message that arrives and each action runs by itself; a message that can't be encoded is dropped alone (MESSAGE_DROPPED names peer and type); a request whose handler or reply fails is answered 500. The same exception is logged once a second.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -309,6 +309,12 @@
         "a heartbeat names no worker to use",
         ("worker", "error"),
     )
+    MESSAGE_DROPPED = _Spec(
+        2009,
+        logbook.ERROR,
+        "a message to a peer can't be encoded",
+        ("peer", "message_type", "error"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/cluster/src/clayfield/cluster/__init__.py
+++ b/packages/cluster/src/clayfield/cluster/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from clayfield.cluster.actions import (
+    Action,
     Broadcast,
     Persist,
     Send,
@@ -16,6 +17,7 @@
 from clayfield.cluster.voters import VoterPolicy
 
 __all__ = [
+    "Action",
     "Broadcast",
     "ControlNode",
     "ControlState",
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -14,6 +14,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 from clayfield.cluster import (
+    Action,
     Broadcast,
     ControlNode,
     Persist,
@@ -95,7 +96,7 @@
         self._server = HttpServer(reactor, self._on_request, _make_limits)
         self._metrics = ControlMetrics(self._control)
         self._metrics_server = MetricsServer(reactor, self._metrics)
-        self._log_filter = RepeatFilter(self._clock, LOG_INTERVAL_MS)
+        self._rejections = RepeatFilter(self._clock, LOG_INTERVAL_MS)
         self._pending_requests: dict[int, HttpRequest] = {}
         self._last_request_id = 0
         self._ticks = 0
@@ -196,7 +197,7 @@
     ) -> None:
         """Replies to a heartbeat of another writer, which is not recorded."""
         self._metrics.on_heartbeat_rejected()
-        if self._log_filter.is_due(call.name):
+        if self._rejections.is_due(call.name):
             emit(Event.HEARTBEAT_REJECTED, worker=call.name, error=call.error)
         _reply(request, call.reply)
 
@@ -252,21 +253,26 @@
     def on_messages(self, node: str, messages: list[Message]) -> None:
         """Handles messages from a node."""
         for message in messages:
-            self._control.on_message(node, message)
+            self.run_guarded(
+                lambda one=message: self._control.on_message(node, one)
+            )
         self.schedule_actions()
 
     def run_actions(self) -> None:
         """Runs the actions that the control node's logic has queued."""
         for action in self._control.take_actions():
-            match action:
-                case Send(node=node, message=message):
-                    self._streams.send(node, message)
-                case Broadcast(message=message):
-                    self._streams.broadcast("entry", message)
-                case Persist():
-                    self._persist(action)
-                case WriteFinished():
-                    self._on_write_finished(action)
+            self.run_guarded(lambda action=action: self._run_action(action))
+
+    def _run_action(self, action: Action) -> None:
+        match action:
+            case Send(node=node, message=message):
+                self._streams.send(node, message)
+            case Broadcast(message=message):
+                self._streams.broadcast("entry", message)
+            case Persist():
+                self._persist(action)
+            case WriteFinished():
+                self._on_write_finished(action)
 
     def _persist(self, action: Persist) -> None:
         """Writes an action's records to disk, then sends its messages.
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -290,19 +290,33 @@
             epoch=self._entry.grant.epoch,
             holder=self._entry.holder,
         )
-        _reply(pending.request, self._callers.write_job_reply(ended))
+        self._respond(pending, lambda: self._callers.write_job_reply(ended))
 
     def _reply_to_cancel(self, request_id: int, is_found: bool | None) -> None:
         pending = self._pending.pop(request_id, None)
         if pending:
-            _reply(pending.request, self._callers.write_cancel_reply(is_found))
+            self._respond(
+                pending, lambda: self._callers.write_cancel_reply(is_found)
+            )
 
     def _reply_to_state(
         self, request_id: int, reply: JobStateReply | None
     ) -> None:
         pending = self._pending.pop(request_id, None)
         if pending:
-            _reply(pending.request, self._callers.write_state_reply(reply))
+            self._respond(
+                pending, lambda: self._callers.write_state_reply(reply)
+            )
+
+    def _respond(
+        self, pending: _PendingRequest, write: Callable[[], HttpReply]
+    ) -> None:
+        """Responds to a caller, with an error if the reply can't be encoded."""
+        reply = HttpReply(500)
+        try:
+            reply = write()
+        finally:
+            _reply(pending.request, reply)
 
     # Streams to other nodes.
 
@@ -319,7 +333,7 @@
     def on_messages(self, node: str, messages: list[Message]) -> None:
         """Handles messages from a node."""
         for message in messages:
-            self._on_message(node, message)
+            self.run_guarded(lambda one=message: self._on_message(node, one))
         self.schedule_actions()
 
     def _on_message(self, node: str, message: Message) -> None:
@@ -346,7 +360,7 @@
     def run_actions(self) -> None:
         """Runs the actions that the entry node's logic has queued."""
         for action in self._entry.take_actions():
-            self._run_guarded(lambda action=action: self._run_action(action))
+            self.run_guarded(lambda action=action: self._run_action(action))
 
     def _run_action(self, action: EntryAction) -> None:
         match action:
--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -7,12 +7,15 @@
 
 import collections
 import http
+import traceback
 from collections.abc import Callable
 
 import httptools
 from twisted.internet import interfaces, protocol
 from twisted.python import failure
 
+from clayfield.base.events import Event, emit
+
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
 MAX_PIPELINED = 64
@@ -250,8 +253,13 @@
             self._queue.append(request)
 
     def _serve(self, request: HttpRequest) -> None:
+        """Passes a request on; responds with an error if that raises."""
         self._current = request
-        self._server.handle(request)
+        try:
+            self._server.handle(request)
+        except Exception:
+            emit(Event.INTERNAL, error=traceback.format_exc(limit=-4))
+            request.respond(http.HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def write_response(self, request: HttpRequest, response: bytes) -> None:
         """Writes the response to the request that is being handled."""
--- a/packages/node/src/clayfield/node/process.py
+++ b/packages/node/src/clayfield/node/process.py
@@ -13,12 +13,16 @@
 from twisted.internet import interfaces, reactor
 from twisted.logger import LogEvent, globalLogBeginner
 
+from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 
 TICK_S = 0.02
 MS_PER_S = 1000.0
 # Net allocations between garbage collections; keeps their pauses rare.
 GC_ALLOCATIONS = 20_000
+# Least time between two log lines about the same exception.
+LOG_INTERVAL_MS = 1000.0
 
 
 class NodeProcess(abc.ABC):
@@ -36,6 +40,7 @@
         self._role = role
         self._is_scheduled = False
         self._is_ended = False
+        self._log_filter = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
 
     def run(self) -> None:
         """Runs the event loop until the process ends."""
@@ -63,15 +68,21 @@
         if self._is_ended:
             return
         reactor.callLater(TICK_S, self._tick)
-        self._run_guarded(self.tick)
+        self.run_guarded(self.tick)
         self.schedule_actions()
 
-    def _run_guarded(self, function: Callable[[], None]) -> None:
-        """Calls a function; logs an unexpected exception and drops it."""
+    def run_guarded(self, function: Callable[[], None]) -> None:
+        """Calls a function; logs an unexpected exception and drops it.
+
+        The caller then goes on with the next message or action, which may be
+        about another job or worker.
+        """
         try:
             function()
         except Exception:
-            emit(Event.INTERNAL, error=traceback.format_exc(limit=-4))
+            error = traceback.format_exc(limit=-4)
+            if self._log_filter.is_due(error):
+                emit(Event.INTERNAL, error=error)
 
     def schedule_actions(self) -> None:
         """Schedules `run_actions` for the next iteration of the event loop."""
@@ -81,7 +92,7 @@
 
     def _run_scheduled_actions(self) -> None:
         self._is_scheduled = False
-        self._run_guarded(self.run_actions)
+        self.run_guarded(self.run_actions)
 
     def fail(self, reason: str) -> None:
         """Ends the process after an error from which it can't recover."""
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -4,7 +4,8 @@
 failure; on every stream both sides may send. Each side sends a keepalive
 frame every `KEEPALIVE_INTERVAL_S`, and a stream on which nothing arrives for
 `PEER_TIMEOUT_S` is aborted. A message that can't be sent is dropped: whoever
-needs a reply sends the message again.
+needs a reply sends the message again. One that can't be encoded is dropped
+alone.
 """
 
 import abc
@@ -131,7 +132,29 @@
         batch = self._queue
         self._queue = []
         if batch and self.transport.connected:
-            self.sendString(encode_batch(batch))
+            self.sendString(self._encode(batch))
+
+    def _encode(self, batch: list[Message]) -> bytes:
+        """Returns the frame of a batch, without messages that can't be sent."""
+        try:
+            return encode_batch(batch)
+        except Exception:
+            sendable = [one for one in batch if self._is_sendable(one)]
+            return encode_batch(sendable)
+
+    def _is_sendable(self, message: Message) -> bool:
+        """Returns whether a message can be encoded; logs it if not."""
+        try:
+            encode_batch([message])
+        except Exception as exc:
+            emit(
+                Event.MESSAGE_DROPPED,
+                peer=self.node,
+                message_type=type(message).__name__,
+                error=str(exc),
+            )
+            return False
+        return True
 
     def keep_alive(self) -> None:
         """Sends a keepalive frame, or aborts if the peer timed out."""
