Read the rows of a worker's reply one by one

A row of `running` or `ended` that names no task or run made the whole reply unreadable, and the worker count as silent. The end of a task that its job doesn't have raised in each poll, before the later ends were taken.

Such a worker is polled every 50 ms at most, as it may reply to each poll at once. ROWS_IGNORED names it and the number of rows, once in 10 s.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -309,6 +309,12 @@
         "a heartbeat names no worker to use",
         ("worker", "error"),
     )
+    ROWS_IGNORED = _Spec(
+        6025,
+        logbook.WARNING,
+        "a worker lists runs that name no task",
+        ("worker", "rows"),
+    )
     MESSAGE_DROPPED = _Spec(
         2009,
         logbook.ERROR,
--- a/packages/node/src/clayfield/node/native/workers.py
+++ b/packages/node/src/clayfield/node/native/workers.py
@@ -23,6 +23,7 @@
     TaskId,
     ThrottleRun,
 )
+from clayfield.wire.checks import DECODE_ERRORS
 
 START_PATH = "/v1/runs/start"
 STOP_PATH = "/v1/runs/stop"
@@ -246,7 +247,7 @@
             return Advice(False)
         try:
             reply = _advice_decoder.decode(result.body)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return Advice(False)
         return Advice(True, reply.tickets, reply.valid_ms)
 
@@ -285,7 +286,7 @@
         return CommandResult.UNHEALTHY
     try:
         return _reply_decoder.decode(result.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return CommandResult.LOST
 
 
--- a/packages/pool/src/clayfield/pool/commands.py
+++ b/packages/pool/src/clayfield/pool/commands.py
@@ -146,6 +146,8 @@
             it is not reported.
         is_complete: whether no further ends wait on the worker. A run that an
             incomplete reply doesn't list may have ended.
+        unreadable_rows: number of rows that could not be read and are left
+            out, as they name no run that a node has started.
     """
 
     __slots__ = (
@@ -155,6 +157,7 @@
         "is_complete",
         "result",
         "running",
+        "unreadable_rows",
     )
 
     def __init__(
@@ -165,6 +168,7 @@
         ended: list[EndedRun] | None = None,
         born_ms: int = 0,
         is_complete: bool = True,
+        unreadable_rows: int = 0,
     ):
         self.result = result
         self.clock_ms = clock_ms
@@ -172,6 +176,7 @@
         self.ended = ended or []
         self.born_ms = born_ms
         self.is_complete = is_complete
+        self.unreadable_rows = unreadable_rows
 
 
 class StartRun:
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -14,6 +14,7 @@
 
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 from clayfield.pool.commands import (
     CommandReply,
     CommandResult,
@@ -27,7 +28,11 @@
     StopRun,
     ThrottleRun,
 )
-from clayfield.pool.polling import POLL_WAIT_MS, PollSchedule
+from clayfield.pool.polling import (
+    POLL_WAIT_MS,
+    UNREADABLE_PAUSE_MS,
+    PollSchedule,
+)
 from clayfield.pool.run_ends import (
     EndCause,
     FleetListener,
@@ -53,6 +58,8 @@
 RUN_NUMBER_SKIP = 1000
 # Pause of the polls of a worker that has rejected the fencing token.
 FENCED_PAUSE_MS = 500.0
+# Least time between two log lines about the unreadable rows of a worker.
+ROWS_LOG_INTERVAL_MS = 10_000.0
 # Poll numbers that are reserved for each fencing token; more than a worker is
 # ever polled under one, as a poll's number tells its token.
 POLLS_PER_FENCE = 1 << 40
@@ -105,6 +112,7 @@
         # run was reached.
         self._unrenewed: set[str] = set()
         self._schedule = PollSchedule(self.workers)
+        self._rows_log_filter = RepeatFilter(clock, ROWS_LOG_INTERVAL_MS)
 
     # Queries.
 
@@ -545,6 +553,7 @@
             return
         self._record_reply(worker, reply.clock_ms)
         self._on_reachable(worker)
+        self._log_unreadable_rows(name, reply.unreadable_rows)
         fence = poll_id // POLLS_PER_FENCE
         self._on_fence_accepted(worker, fence, now_ms)
         for row in sorted(reply.ended, key=lambda row: row.sequence):
@@ -554,7 +563,10 @@
             worker.has_unlisted_ends = not reply.is_complete
         if reply.is_complete:
             self._end_unlisted_runs(worker, reply.running, sent_ms)
-        worker.next_poll_ms = now_ms + self._schedule.pause_ms(worker)
+        pause_ms = self._schedule.pause_ms(worker)
+        if reply.unreadable_rows:
+            pause_ms = max(pause_ms, UNREADABLE_PAUSE_MS)
+        worker.next_poll_ms = now_ms + pause_ms
         self._throttle(worker, now_ms)
         if fence == self.fence:
             worker.is_synced = True
@@ -565,6 +577,10 @@
         if not worker.is_removed:
             self.poll_if_due(worker)
 
+    def _log_unreadable_rows(self, name: str, rows: int) -> None:
+        if rows and self._rows_log_filter.is_due(name):
+            emit(Event.ROWS_IGNORED, worker=name, rows=rows)
+
     def _on_fence_accepted(
         self, worker: Worker, fence: int, now_ms: float
     ) -> None:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -386,10 +386,11 @@
     def _apply_inherited_end(self, row: EndedRun, worker: Worker) -> None:
         """Applies an inherited run's end, or ignores it if it has no effect."""
         open_job = self._jobs.by_key.get(row.task_id.job)
-        if open_job is None or not open_job.job.is_kept:
+        is_kept = open_job is not None and open_job.job.is_kept
+        task = open_job.find_task(row.task_id) if is_kept else None
+        if task is None:
             worker.on_end_stored(row.sequence)
             return
-        task = open_job.task_of(row.task_id)
         is_over = task.state is TaskState.DONE or task.step.is_long_running
         if is_over or task.run is not None:
             worker.on_end_stored(row.sequence)
--- a/packages/pool/src/clayfield/pool/polling.py
+++ b/packages/pool/src/clayfield/pool/polling.py
@@ -23,6 +23,9 @@
 RETRY_SHARE = 0.2
 # Pause between polls while a worker lists ends that are not stored yet.
 UNSTORED_PAUSE_MS = 10.0
+# Pause between polls of a worker that lists rows which can't be read; it may
+# reply to every poll at once.
+UNREADABLE_PAUSE_MS = 50.0
 MS_PER_S = 1000.0
 
 
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -433,8 +433,18 @@
         """Returns all tasks of a task's step and iteration."""
         return self.tasks[self.job.stage_of(task_id.step, task_id.iteration)]
 
-    def task_of(self, task_id: TaskId) -> Task:
-        """Returns the task with an identity."""
+    def find_task(self, task_id: TaskId) -> Task | None:
+        """Returns the task with an identity, None if the job has no such one.
+
+        Workers may list runs that were not started for this job.
+        """
+        job = self.job
+        if not 0 <= task_id.iteration < job.iteration_count:
+            return None
+        if not 0 <= task_id.step < len(job.steps):
+            return None
+        if not 0 <= task_id.index < job.steps[task_id.step].count:
+            return None
         return self.sibling_tasks(task_id)[task_id.index]
 
     def all_tasks(self) -> list[Task]:
--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -330,6 +330,13 @@
         if kind is not EndKind.DONE:
             self._break_gang(run)
 
+    def add_foreign_end(self, task_id: TaskId, number: int = 1) -> None:
+        """Lists the end of a run that was never started here."""
+        self._sequence += 1
+        self._ended.append(
+            EndedRun(self._sequence, task_id, number, EndKind.DONE)
+        )
+
     def stop(self, request: StopRun) -> CommandResult:
         """Handles a stop request: stops the run or bars its later start."""
         if request.fence < self._fence:
