Number the requests of a holder apart from those of its earlier grants

A late list of jobs, or a late reply of the advisor, was taken for the reply to a later request alike.

The numbers of writes, loads and requests for tickets now begin at the epoch or the fencing token of the grant under which they are made, as those of polls do.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -96,7 +96,7 @@
         is_standby = store is None
         self.fleet = Fleet(clock, timing, self, fence, is_standby)
         self.is_fenced = False
-        self.tickets = TicketCache(clock)
+        self.tickets = TicketCache(clock, fence)
         self._jobs = JobTable()
         self._pausing = Pausing(clock, timing, node, self.fleet, self._jobs)
         self._admission = Admission()
--- a/packages/pool/src/clayfield/pool/job_store_client.py
+++ b/packages/pool/src/clayfield/pool/job_store_client.py
@@ -31,6 +31,9 @@
 AUTHORITY_MS = 1500.0
 # After this time a request without a reply is sent again.
 RESEND_MS = 400.0
+# Numbers of requests that are reserved for each epoch. A late reply to an
+# earlier client of the same node then matches no request of a later one.
+REQUESTS_PER_EPOCH = 1 << 32
 
 
 class JobChangeRecord:
@@ -86,11 +89,11 @@
         self._leader = ""
         self.confirmed_ms = -AUTHORITY_MS
         self._load_sent_ms = -RESEND_MS
-        self._load_request = 0
+        self._load_request = epoch * REQUESTS_PER_EPOCH
         self._loaded_parts: list[JobsLoaded] = []
         self._unsent: list[JobChangeRecord] = []
         self._in_flight: _Batch | None = None
-        self._sequence = 0
+        self._sequence = epoch * REQUESTS_PER_EPOCH
 
     @property
     def has_authority(self) -> bool:
--- a/packages/pool/src/clayfield/pool/tickets.py
+++ b/packages/pool/src/clayfield/pool/tickets.py
@@ -21,6 +21,9 @@
 RETRY_MS = 200.0
 # A ticket is renewed when it is valid for less than this time.
 MIN_VALID_MS = 150.0
+# Numbers of requests that are reserved for each fencing token. A late reply to
+# an earlier scheduler of the same node then matches no request of a later one.
+CALLS_PER_FENCE = 1 << 32
 
 
 class _StepTickets:
@@ -57,12 +60,18 @@
         actions: requests to send; the caller clears it.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, fence: int = 0):
+        """Creates an empty cache.
+
+        Args:
+            clock: source of the current time.
+            fence: fencing token of the scheduler when it is created.
+        """
         self.actions: list[RequestAdvice] = []
         self._clock = clock
         self._steps: dict[tuple[str, int], _StepTickets] = {}
         self._calls: dict[int, _StepTickets] = {}
-        self._last_call = 0
+        self._last_call = fence * CALLS_PER_FENCE
 
     def ticket(self, task: Task, worker: str) -> str:
         """Returns a valid ticket for a task on a worker, "" if there is none.
