Let a standby's own ends be listed behind those left to the holder

Callers in a hall that was cut off got 504 at their deadline although their jobs had run: the standby leaves the ends of the former holder's kept runs on the worker, and from 500 on no reply lists the ends of its own runs any more.

Once the lease has lapsed since such ends, which they don't count after, the worker may forget them if its list is cut short; the holder starts their tasks again. Below 500 ends on a worker nothing changes.

Without the store no job is accepted and after 1.5 s none runs, which bounds the ends already; so no bound was added.

--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -871,12 +871,23 @@
                 self._end_lapsed_runs(worker, now_ms)
         if self.is_standby and worker.has_known_usage:
             worker.update_lease_withholding(worker.deferred_end_ms, now_ms)
+            self._release_deferred_ends(worker)
         self._retry_stops(worker, now_ms)
         if self._is_probe_due(worker, now_ms):
             self._probe_at_ms[worker.name] = now_ms + PROBE_INTERVAL_MS
             self._send_poll(worker, 0)
         self.poll_if_due(worker)
 
+    def _release_deferred_ends(self, worker: Worker) -> None:
+        """Lets a worker forget the ends that are left to the holder, if many.
+
+        Else the ends of this node's own runs would not be listed behind them.
+        The lease has lapsed since those ends, so they count no more, and the
+        holder starts the tasks again.
+        """
+        if worker.has_unlisted_ends and not worker.is_lease_withheld:
+            worker.forget_unstored_ends()
+
     def poll_if_due(self, worker: Worker) -> None:
         """Polls a worker if its next poll is due and none is open."""
         now_ms = self._clock.now_ms()
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -219,6 +219,10 @@
         """Handles the confirmation that an end is in stable storage."""
         self._unstored_ends.discard(sequence)
 
+    def forget_unstored_ends(self) -> None:
+        """Allows the worker to discard all ends that it has listed."""
+        self._unstored_ends.clear()
+
     # Clock and lease.
 
     def on_clock(self, clock_ms: float, now_ms: float) -> None:
--- a/tests/test_unlisted_ends.py
+++ b/tests/test_unlisted_ends.py
@@ -170,3 +170,30 @@
     assert site.find_restarts_after_end() == []
     assert len(site.runs) == count
     assert _states(site, keys) == {JobState.COMPLETED}
+
+
+@pytest.mark.parametrize("count", [499, 501, 1200])
+def test_jobs_end_at_a_standby_beside_many_ends_left_to_the_holder(count):
+    # Their own ends were behind more than one reply of ends that stay.
+    site = PoolSite(("a", "b", "c"), 1, seed=1, slots=count + 10)
+    site.grant(HOLDER, {"b": "b-0/1"})
+    site.run(4000)
+    for worker in site.workers.values():
+        worker.task_ms = TASK_MS
+    keys = _submit(site, 3 * count)
+    site.run(200)
+    site.leader.is_unresponsive = True
+    site.partition("b")
+    site.run(4000)
+    site.leader.is_unresponsive = False
+    site.workers["worker-b-0"].task_ms = 60
+    site.submit("b-1/1", "local", 5)
+    site.run(5500)
+    assert site.outcomes["local"][1].verdict is Verdict.COMPLETED
+    site.heal("b")
+    site.run(10)
+    site.grant(HOLDER, {"b": "b-0/1"})
+    site.run(12_000)
+    assert site.find_violations() == []
+    assert site.find_restarts_after_end() == []
+    assert _states(site, keys, "c-1/1") == {JobState.COMPLETED}
