Test that sound work is served beside any heartbeats

Hypothesis sends well-typed heartbeats of any values to a simulated site while jobs run over a change of the holder, and any bytes and field values to both protocols.

--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -9,14 +9,17 @@
 import msgspec
 import pytest
 from clayfield_platform.operators import PlatformOperators
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from clayfield.base.settings import parse_address
 from clayfield.cluster import Broadcast
 from clayfield.node.httpserver import HttpRequest
 from clayfield.node.interfaces import HeartbeatCall, RejectedHeartbeat
 from clayfield.node.native import NativeOperators
 from clayfield.testbed.control_site import ControlSite
 from clayfield.testbed.pool_site import DEFAULT_STEP, HOLDER, make_granted_site
-from clayfield.wire.cluster import WorkersPush
+from clayfield.wire.cluster import WorkersPush, encode_batch
 from clayfield.wire.jobs import JobState, Verdict, WorkerInfo, WorkerState
 
 PLATFORM = {
@@ -309,3 +312,69 @@
     else:
         assert site.outcomes["job"][1].verdict is Verdict.COMPLETED
     assert len(site.runs) == 4
+
+
+_TEXTS = st.text(max_size=12) | st.sampled_from(
+    ["service", "stock", "worker-a-0", "10.0.0.1:80", "10.9.9.9:80", "a", "b"]
+)
+_NUMBERS = st.integers(-(2**70), 2**70) | st.sampled_from([0, 1, 2, 2**53])
+_INFOS = st.builds(
+    WorkerInfo,
+    _TEXTS,
+    _TEXTS,
+    _TEXTS,
+    _TEXTS,
+    st.sampled_from(WorkerState),
+    _NUMBERS,
+    _NUMBERS,
+    _NUMBERS,
+    _NUMBERS,
+    st.lists(_TEXTS, max_size=2).map(tuple),
+    _TEXTS,
+)
+
+
+@given(st.lists(_INFOS, min_size=1, max_size=6))
+@settings(derandomize=True, database=None, max_examples=40, deadline=None)
+def test_sound_work_is_served_beside_any_heartbeats(infos):
+    site = make_granted_site(workers=1, settle_ms=1000)
+    for info in infos:
+        site.send_foreign_heartbeat(info)
+    site.run(50)
+    for name in site.workers:
+        site.send_heartbeat(name)
+    site.submit("c-1/1", "before", count=3)
+    site.run(200)
+    site.kill(HOLDER)
+    site.run(200)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(4000)
+    site.submit("c-1/1", "after", count=3, is_kept=True)
+    site.run(2000)
+    site.request_state("c-1/1", "after")
+    site.run(300)
+    assert site.outcomes["before"][1].verdict is Verdict.COMPLETED
+    assert site.reported_states == {"after": JobState.COMPLETED}
+    assert site.find_violations() == []
+
+
+@pytest.mark.parametrize(("operators", "prefix", "sound"), PROTOCOLS)
+@given(body=st.binary(max_size=80))
+@settings(derandomize=True, database=None, max_examples=200)
+def test_any_bytes_are_a_heartbeat_or_rejected(operators, prefix, sound, body):
+    call = _read(operators, f"{prefix}w-1", body)
+    assert isinstance(call, RejectedHeartbeat | HeartbeatCall)
+
+
+@pytest.mark.parametrize(("operators", "prefix", "sound"), PROTOCOLS)
+@given(data=st.data())
+@settings(derandomize=True, database=None, max_examples=200)
+def test_heartbeat_that_is_passed_on_can_be_sent_and_used(
+    operators, prefix, sound, data
+):
+    field = data.draw(st.sampled_from(sorted(sound)))
+    value = data.draw(_TEXTS | _NUMBERS | st.none() | st.lists(_TEXTS))
+    call = _read(operators, f"{prefix}w-1", {**sound, field: value})
+    if isinstance(call, HeartbeatCall):
+        encode_batch([WorkersPush((call.info,))])
+        parse_address(call.info.address)
