Place tasks by the capacity that a worker stated last

Workers whose first heartbeat stated less than the later ones got nothing without any restart; and on a service that doesn't guard its capacity tasks were started beyond one that had shrunk.

Cause: admission read the latest heartbeat, placement a count of free capacity that was set from the first heartbeat and changed by runs only. A worker now counts what its runs reserve; what is free follows from that and the latest heartbeat, in one place, so admission and placement can differ only by the runs that are there. While runs that no longer fit go on, nothing is free.

--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -119,7 +119,7 @@
         for worker in self._rotated(self._workers):
             is_of_service = worker.info.service == job.service
             if is_of_service and self._is_open(worker):
-                needed -= worker.free_cpu // max(1, cpu)
+                needed -= max(0, worker.free_cpu) // max(1, cpu)
             if needed <= 0:
                 return True
         return False
--- a/packages/pool/src/clayfield/pool/worker.py
+++ b/packages/pool/src/clayfield/pool/worker.py
@@ -75,9 +75,9 @@
     __slots__ = (
         "_clock_offset_ms",
         "_failed_jobs",
-        "_free_cpu",
-        "_free_gpu",
-        "_free_memory_mb",
+        "_reserved_cpu",
+        "_reserved_gpu",
+        "_reserved_memory_mb",
         "_suspended_until_ms",
         "_suspension_ms",
         "_unstored_ends",
@@ -141,9 +141,9 @@
         self.listed_ms = -1.0
         self.speed = 1.0
         self._clock_offset_ms: float | None = None
-        self._free_cpu = info.cpu
-        self._free_memory_mb = info.memory_mb
-        self._free_gpu = info.gpu
+        self._reserved_cpu = 0
+        self._reserved_memory_mb = 0
+        self._reserved_gpu = 0
         self._failed_jobs: list[str] = []
         self._suspension_ms = MIN_SUSPENSION_MS
         self._suspended_until_ms = 0.0
@@ -155,8 +155,11 @@
 
     @property
     def free_cpu(self) -> int:
-        """Unreserved CPU, in thousandths of a core."""
-        return self._free_cpu
+        """Unreserved CPU, in thousandths of a core.
+
+        Below 0 while runs go on that no longer fit, as the capacity has shrunk.
+        """
+        return self.info.cpu - self._reserved_cpu
 
     @property
     def is_draining(self) -> bool:
@@ -168,9 +171,9 @@
     def fits(self, step: Step) -> bool:
         """Returns whether a task of a step fits the free capacity."""
         return (
-            step.reserved_cpu <= self._free_cpu
-            and step.memory_mb <= self._free_memory_mb
-            and step.gpu <= self._free_gpu
+            self._reserved_cpu + step.reserved_cpu <= self.info.cpu
+            and self._reserved_memory_mb + step.memory_mb <= self.info.memory_mb
+            and self._reserved_gpu + step.gpu <= self.info.gpu
         )
 
     def fits_when_idle(self, step: Step) -> bool:
@@ -184,18 +187,18 @@
     def reserve(self, run: Run) -> None:
         """Adds a run and reserves its resources."""
         self.runs[run.task_id] = run
-        self._change_free(run, -1)
+        self._change_reserved(run, 1)
 
     def release(self, run: Run) -> None:
         """Removes a run and releases its resources."""
         if self.runs.get(run.task_id) is run:
             del self.runs[run.task_id]
-            self._change_free(run, 1)
+            self._change_reserved(run, -1)
 
-    def _change_free(self, run: Run, sign: int) -> None:
-        self._free_cpu += sign * run.cpu
-        self._free_memory_mb += sign * run.memory_mb
-        self._free_gpu += sign * run.gpu
+    def _change_reserved(self, run: Run, sign: int) -> None:
+        self._reserved_cpu += sign * run.cpu
+        self._reserved_memory_mb += sign * run.memory_mb
+        self._reserved_gpu += sign * run.gpu
 
     # Ends of runs.
 
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -390,6 +390,17 @@
         )
         self.send_heartbeat(name)
 
+    def resize_worker(self, name: str, slots: int) -> None:
+        """Makes a worker announce room for another number of default tasks.
+
+        What runs there goes on.
+        """
+        worker = self.workers[name]
+        worker.info = msgspec.structs.replace(
+            worker.info, cpu=slots * SLOT_CPU, memory_mb=slots * 500
+        )
+        self.send_heartbeat(name)
+
     def leave(self, name: str) -> None:
         """Makes a worker announce that it leaves; what runs there goes on."""
         left = WorkerLeft(name, self.workers[name].info.born_ms)
