Split what exceeds one message between nodes

Found while looking for other writes that fail for their content: a write of kept jobs, or the list of them for a new holder, had no bound in bytes. From about 23 jobs of the greatest size that a caller may send (20,000 tasks) in one write on, or 40 stored ones, the message exceeded the 16 MiB of a frame; it could not be sent, and was tried again for ever. No kept job was accepted or ended any more, and a new holder never had the stored jobs. Messages that exceed a frame only together closed their connection.

A write takes changes up to 1 MiB, at least one; the list of jobs is sent in parts of that size instead of 200 jobs; what does not fit one frame goes into several, and a message that fits none is dropped alone (MESSAGE_DROPPED). The texts and labels of a heartbeat are bounded, as each is sent to every entry node.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -318,7 +318,7 @@
     MESSAGE_DROPPED = _Spec(
         2009,
         logbook.ERROR,
-        "a message to a peer can't be encoded",
+        "a message to a peer can't be sent",
         ("peer", "message_type", "error"),
     )
     INTERNAL = _Spec(
--- a/packages/cluster/src/clayfield/cluster/job_store_leader.py
+++ b/packages/cluster/src/clayfield/cluster/job_store_leader.py
@@ -5,6 +5,8 @@
 rejects it once another grant is active.
 """
 
+import msgspec
+
 from clayfield.base import Clock
 from clayfield.cluster.actions import Action, Send
 from clayfield.cluster.control_state import (
@@ -19,12 +21,13 @@
     HolderLease,
     JobsLoaded,
     JobsWritten,
+    KeptJob,
     LoadJobs,
     WriteJobs,
 )
 
-# Number of jobs in one part of the reply to a new holder's load request.
-OPEN_JOBS_PER_PART = 200
+# Limits of one part of the reply to a new holder's load request.
+MAX_PART_BYTES = 1024 * 1024
 ENDED_JOBS_PER_PART = 5000
 # Time between removals of ended jobs, and their number in one removal.
 REMOVAL_INTERVAL_MS = 1000.0
@@ -92,9 +95,10 @@
         ended = list(self._state.jobs.ended_states().items())
         parts: list[JobsLoaded] = []
         while True:
-            open_part = open_jobs[:OPEN_JOBS_PER_PART]
+            count = _count_in_part(open_jobs)
+            open_part = open_jobs[:count]
             ended_part = dict(ended[:ENDED_JOBS_PER_PART])
-            open_jobs = open_jobs[OPEN_JOBS_PER_PART:]
+            open_jobs = open_jobs[count:]
             ended = ended[ENDED_JOBS_PER_PART:]
             is_last = not open_jobs and not ended
             part = JobsLoaded(
@@ -149,3 +153,13 @@
         )
         if keys:
             self._consensus.propose(encode_command(ForgetJobs(keys)))
+
+
+def _count_in_part(jobs: list[KeptJob]) -> int:
+    """Returns how many of the first jobs fit one part; at least one."""
+    size = 0
+    for count, kept in enumerate(jobs):
+        size += len(msgspec.msgpack.encode(kept))
+        if count and size > MAX_PART_BYTES:
+            return count
+    return len(jobs)
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -132,29 +132,33 @@
         batch = self._queue
         self._queue = []
         if batch and self.transport.connected:
-            self.sendString(self._encode(batch))
+            for frame in self._encode(batch):
+                self.sendString(frame)
 
-    def _encode(self, batch: list[Message]) -> bytes:
-        """Returns the frame of a batch, without messages that can't be sent."""
-        try:
-            return encode_batch(batch)
-        except Exception:
-            sendable = [one for one in batch if self._is_sendable(one)]
-            return encode_batch(sendable)
+    def _encode(self, batch: list[Message]) -> list[bytes]:
+        """Returns the frames of a batch, without messages that can't be sent.
 
-    def _is_sendable(self, message: Message) -> bool:
-        """Returns whether a message can be encoded; logs it if not."""
+        A batch that can't be sent as one frame is halved until the message at
+        fault is alone.
+        """
         try:
-            encode_batch([message])
+            frame = encode_batch(batch)
+            error = f"{len(frame)} bytes exceed the limit"
         except Exception as exc:
-            emit(
-                Event.MESSAGE_DROPPED,
-                peer=self.node,
-                message_type=type(message).__name__,
-                error=str(exc),
-            )
-            return False
-        return True
+            frame = b""
+            error = str(exc)
+        if frame and len(frame) <= MAX_FRAME_BYTES:
+            return [frame]
+        if len(batch) > 1:
+            middle = len(batch) // 2
+            return self._encode(batch[:middle]) + self._encode(batch[middle:])
+        emit(
+            Event.MESSAGE_DROPPED,
+            peer=self.node,
+            message_type=type(batch[0]).__name__,
+            error=error,
+        )
+        return []
 
     def keep_alive(self) -> None:
         """Sends a keepalive frame, or aborts if the peer timed out."""
--- a/packages/pool/src/clayfield/pool/job_store_client.py
+++ b/packages/pool/src/clayfield/pool/job_store_client.py
@@ -31,6 +31,9 @@
 AUTHORITY_MS = 1500.0
 # After this time a request without a reply is sent again.
 RESEND_MS = 400.0
+# Above this size of a write, further changes go into the next one. A write must
+# fit one message, also if each of its jobs is as large as a caller may send.
+MAX_WRITE_BYTES = 1024 * 1024
 # Numbers of requests that are reserved for each epoch. A late reply to an
 # earlier client of the same node then matches no request of a later one.
 REQUESTS_PER_EPOCH = 1 << 32
@@ -44,9 +47,10 @@
         worker: the worker that lists the end of the run, None for other
             changes.
         sequence: the worker's number of that end.
+        size: number of bytes of the encoded change.
     """
 
-    __slots__ = ("change", "sequence", "worker")
+    __slots__ = ("change", "sequence", "size", "worker")
 
     def __init__(
         self,
@@ -57,6 +61,7 @@
         self.change = change
         self.worker = worker
         self.sequence = sequence
+        self.size = 0
 
 
 class _Batch:
@@ -109,8 +114,10 @@
             ValueError: the change can't be encoded. In a write it would keep
                 every other change from being stored.
         """
-        if not can_store(record.change):
+        size = find_stored_size(record.change)
+        if size is None:
             raise ValueError(f"{type(record.change).__name__}: not encodable")
+        record.size = size
         self._unsent.append(record)
 
     def withdraw_unsent_jobs(self) -> list[Job]:
@@ -201,8 +208,7 @@
         """Sends the next write, or again the one that is not confirmed."""
         if self._in_flight is None and self._unsent:
             self._sequence += 1
-            self._in_flight = _Batch(self._sequence, self._unsent)
-            self._unsent = []
+            self._in_flight = _Batch(self._sequence, self._take_next_changes())
         batch = self._in_flight
         if batch is None or not self._leader:
             return
@@ -210,6 +216,19 @@
         if batch.sent_ms is None or now_ms - batch.sent_ms >= RESEND_MS:
             self._send(batch, now_ms)
 
+    def _take_next_changes(self) -> list[JobChangeRecord]:
+        """Returns the oldest unsent changes, as many as fit one write."""
+        size = 0
+        for count, record in enumerate(self._unsent):
+            size += record.size
+            if count and size > MAX_WRITE_BYTES:
+                break
+        else:
+            count = len(self._unsent)
+        taken = self._unsent[:count]
+        self._unsent = self._unsent[count:]
+        return taken
+
     def _mark_unsent(self) -> None:
         """Marks the write in flight to be sent again at the next flush."""
         if self._in_flight:
@@ -233,13 +252,15 @@
         self.actions.append(SendToNode(self._leader, load))
 
 
-def can_store(change: JobChange) -> bool:
-    """Returns whether a change can be encoded, and so be stored."""
+def find_stored_size(change: JobChange) -> int | None:
+    """Returns the size of an encoded change, in bytes.
+
+    None if it can't be encoded, and so not be stored.
+    """
     try:
-        msgspec.msgpack.encode(change)
+        return len(msgspec.msgpack.encode(change))
     except (OverflowError, TypeError, UnicodeEncodeError):
-        return False
-    return True
+        return None
 
 
 def _key_of(change: JobChange) -> str:
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -22,7 +22,7 @@
     AUTHORITY_MS,
     JobChangeRecord,
     JobStoreClient,
-    can_store,
+    find_stored_size,
 )
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.run_ends import RunOutcome
@@ -198,7 +198,8 @@
     def _accept(self, entry: str, submit: SubmitJob) -> None:
         """Opens an admitted job and writes its acceptance; else refuses it."""
         job = submit.job
-        if not can_store(AcceptJob(job)) or not self.store.has_authority:
+        can_store = find_stored_size(AcceptJob(job)) is not None
+        if not can_store or not self.store.has_authority:
             self._refuse(entry, submit, Reason.NOT_STORED)
             return
         if len(self._jobs.by_key) >= MAX_OPEN_JOBS:
--- a/packages/wire/src/clayfield/wire/checks.py
+++ b/packages/wire/src/clayfield/wire/checks.py
@@ -17,6 +17,9 @@
 # Greatest integer that every reader of JSON represents exactly (RFC 7493).
 MAX_NUMBER = 2**53
 MAX_PORT = 65535
+# Bounds of what control nodes send to every entry node for one worker.
+MAX_TEXT_LENGTH = 200
+MAX_LABELS = 16
 # A worker's name is part of a path and the value of a header.
 _WORKER_NAME = re.compile(r"[!-~]{1,200}")
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -28,6 +31,11 @@
         return "the name is not 1 to 200 printable ASCII characters."
     if not info.service:
         return "service is empty."
+    texts = (info.service, info.hall, info.rack, *info.labels)
+    if len(info.labels) > MAX_LABELS:
+        return f"there are over {MAX_LABELS} labels."
+    if any(len(text) > MAX_TEXT_LENGTH for text in texts):
+        return f"a text is longer than {MAX_TEXT_LENGTH} characters."
     if not is_worker_address(info.address):
         return f"address {info.address[:60]!r} is not IP:PORT."
     return _find_number_error(
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -12,17 +12,33 @@
 from clayfield_platform.callers import PlatformCallers
 from clayfield_platform.operators import PlatformOperators
 
+from clayfield.base import ManualClock
+from clayfield.cluster import ControlState
+from clayfield.cluster.job_store_leader import JobStoreLeader
 from clayfield.node.httpserver import HttpRequest
 from clayfield.node.interfaces import HttpReply, SubmitCall, WriteCall
 from clayfield.node.native import NativeCallers, NativeOperators
 from clayfield.pool import Routes
+from clayfield.pool.job_store_client import (
+    MAX_WRITE_BYTES,
+    JobChangeRecord,
+    JobStoreClient,
+)
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
     HOLDER,
     make_granted_site,
 )
 from clayfield.wire.checks import find_job_error
-from clayfield.wire.jobs import JobState, Verdict
+from clayfield.wire.cluster import MAX_FRAME_BYTES, Grant, encode_batch
+from clayfield.wire.job_store import (
+    AcceptJob,
+    EndTask,
+    HolderLease,
+    JobsWritten,
+    LoadJobs,
+)
+from clayfield.wire.jobs import Job, JobState, Step, Verdict
 
 KEY = "5c0e7a21d94b36f8"
 UNUSABLE = [10**20, 2**64, 2**63, 2**53 + 2, -1]
@@ -213,3 +229,61 @@
         site.request_state("b-1/1", key)
     site.run(300)
     assert set(site.reported_states.values()) == {JobState.COMPLETED}
+
+
+def _large_job(number):
+    """Returns a kept job of 700 kB, near the most that a caller may send."""
+    steps = (Step(1, 1, required_label="x" * 100),) * 5000
+    key = f"job-{number}"
+    return Job(key, "q", "s", "", steps, 0, 3, 1.6, 60.0, 5000.0, True)
+
+
+def test_large_jobs_are_written_in_messages_that_can_be_sent():
+    # A write over the limit of a frame was sent again and again.
+    clock = ManualClock()
+    client = JobStoreClient(clock, 1)
+    client.on_lease("leader", HolderLease(1, clock.now_ms()))
+    jobs = [_large_job(number) for number in range(40)]
+    for job in jobs:
+        client.write(JobChangeRecord(AcceptJob(job)))
+    keys = []
+    while len(keys) < len(jobs):
+        client.actions.clear()
+        client.flush()
+        (action,) = client.actions
+        assert len(encode_batch([action.message])) <= MAX_FRAME_BYTES
+        assert len(encode_batch([action.message])) <= 2 * MAX_WRITE_BYTES
+        written = JobsWritten(1, action.message.sequence)
+        keys += [r.change.job.key for r in client.on_written(written)]
+    assert keys == [job.key for job in jobs]
+
+
+def test_small_changes_share_one_write():
+    clock = ManualClock()
+    client = JobStoreClient(clock, 1)
+    client.on_lease("leader", HolderLease(1, clock.now_ms()))
+    for index in range(5000):
+        client.write(JobChangeRecord(EndTask("job", 0, index, 1, True)))
+    client.actions.clear()
+    client.flush()
+    assert len(client.actions[0].message.changes) == 5000
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 40])
+def test_large_jobs_are_loaded_in_parts_that_can_be_sent(count):
+    # A new holder never got the stored jobs, and no kept job ran any more.
+    state = ControlState(ManualClock())
+    state.grant = Grant(1, "holder")
+    jobs = [_large_job(number) for number in range(count)]
+    state.jobs.apply(tuple(AcceptJob(job) for job in jobs))
+    leader = JobStoreLeader(ManualClock(), None, state, 1000.0)
+    parts = [
+        action.message for action in leader.on_load("holder", LoadJobs(1, 1))
+    ]
+    sizes = [len(encode_batch([part])) for part in parts]
+    assert max(sizes) <= MAX_FRAME_BYTES
+    assert [part.is_last for part in parts] == [False] * (len(parts) - 1) + [
+        True
+    ]
+    loaded = [kept.job.key for part in parts for kept in part.open_jobs]
+    assert loaded == [job.key for job in jobs]
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -16,6 +16,7 @@
 from clayfield.node.streams import Streams
 from clayfield.pool import ReplyToCaller, SendToNode
 from clayfield.wire.cluster import (
+    MAX_FRAME_BYTES,
     ConfigPush,
     ControlNodes,
     EntryStatus,
@@ -53,11 +54,40 @@
     for message in batch:
         stream.send(message)
     stream._streams.reactor.advance(0)
-    frames = _frames(stream.transport.value())
-    assert [decode_batch(frame) for frame in frames[1:]] == [messages]
+    assert _messages(stream) == messages
     assert events == [Event.MESSAGE_DROPPED.name]
 
 
+@pytest.mark.parametrize(
+    ("sizes", "dropped"),
+    [
+        ([MAX_FRAME_BYTES // 2] * 5, 0),
+        ([10, MAX_FRAME_BYTES + 1, 10], 1),
+        ([MAX_FRAME_BYTES - 100] * 3, 0),
+    ],
+)
+def test_messages_that_exceed_a_frame_together_are_sent_in_several(
+    events, sizes, dropped
+):
+    # The receiver closed the connection at such a frame, again and again.
+    pushes = [ConfigPush(n, b"x" * size) for n, size in enumerate(sizes)]
+    stream = _stream(MemoryReactorClock())
+    for push in pushes:
+        stream.send(push)
+    stream._streams.reactor.advance(0)
+    sendable = [p for p in pushes if len(p.document) <= MAX_FRAME_BYTES]
+    assert _messages(stream) == sendable
+    assert events == [Event.MESSAGE_DROPPED.name] * dropped
+
+
+def _messages(stream):
+    """Returns the messages that a stream has sent after its greeting."""
+    frames = _frames(stream.transport.value())
+    assert all(len(frame) <= MAX_FRAME_BYTES for frame in frames)
+    batches = [decode_batch(frame) for frame in frames[1:]]
+    return [message for batch in batches for message in batch]
+
+
 def _stream(reactor):
     streams = Streams(
         reactor, NodeGreeting("c", "127.0.0.1:1/1", "entry", "h"), None
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -69,6 +69,9 @@
     {"address": "\ud800:80"},
     {"labels": [1]},
     {"labels": "a"},
+    {"labels": ["x" * 201]},
+    {"labels": ["x"] * 17},
+    {"service": "x" * 201},
 ]
 FOREIGN_NUMBERS = [-1, 10**20, 2**63, 1.5, "4", None, True]
 
