Log rejected heartbeats at entry nodes, and cut the names in the log

An entry node left out a heartbeat that an earlier version had passed on without a line in its log; a control node logged the name as long as it was sent.

--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -52,6 +52,8 @@
 STOP_DELAY_S = 0.3
 # Least time between two log lines about rejected heartbeats of one name.
 LOG_INTERVAL_MS = 10_000.0
+# Length to which the name in such a line is cut; the sender chooses it.
+MAX_LOGGED_NAME = 200
 
 
 class ControlProcess(NodeProcess, StreamListener):
@@ -197,8 +199,9 @@
     ) -> None:
         """Replies to a heartbeat of another writer, which is not recorded."""
         self._metrics.on_heartbeat_rejected()
-        if self._rejections.is_due(call.name):
-            emit(Event.HEARTBEAT_REJECTED, worker=call.name, error=call.error)
+        name = call.name[:MAX_LOGGED_NAME]
+        if self._rejections.is_due(name):
+            emit(Event.HEARTBEAT_REJECTED, worker=name, error=call.error)
         _reply(request, call.reply)
 
     def _on_write(self, request: HttpRequest, call: WriteCall) -> None:
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from clayfield.base import Clock
+from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 from clayfield.pool.actions import ConnectNode, EntryAction
 from clayfield.pool.callers import HolderLink, PendingCallers
 from clayfield.pool.commands import Advice, CommandReply, PollReply, SendToNode
@@ -47,6 +49,8 @@
 
 # Interval between status messages.
 STATUS_MS = 200.0
+# Least time between two log lines about rejected heartbeats of one name.
+LOG_INTERVAL_MS = 10_000.0
 
 
 class EntryNode(HolderLink):
@@ -81,6 +85,7 @@
         self._open_nodes: dict[str, NodeGreeting] = {}
         self._last_connected_ms: dict[str, float] = {}
         self._workers = WorkerRegistry()
+        self._rejections = RepeatFilter(clock, LOG_INTERVAL_MS)
         # Names whose heartbeats describe no worker of a known service.
         self._unused_names: set[str] = set()
         # Workers that have left and may still run tasks, with the time.
@@ -276,8 +281,11 @@
         return push.version > self.routes.version
 
     def _on_worker_heartbeat(self, info: WorkerInfo) -> None:
-        if find_heartbeat_error(info):
+        error = find_heartbeat_error(info)
+        if error:
             # A control node of an earlier version passes it on unchecked.
+            if self._rejections.is_due(info.name):
+                emit(Event.HEARTBEAT_REJECTED, worker=info.name, error=error)
             return
         latest = self._workers.put(info)
         if latest:
