--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,6 +6,8 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from clayfield.testbed.pool_site import (
     DEFAULT_STEP,
@@ -137,3 +139,50 @@
     site.run(300)
     assert site.reported_states == {"long": JobState.COMPLETED}
     assert site.find_violations() == []
+
+
+_EVENTS = st.lists(
+    st.tuples(st.integers(0, 2), st.integers(0, 3), st.integers(10, 400)),
+    min_size=3,
+    max_size=12,
+)
+
+
+@given(_EVENTS, st.booleans(), st.sampled_from([0.0, 0.3]))
+@settings(derandomize=True, database=None, max_examples=40, deadline=None)
+def test_no_order_of_statements_starts_and_ends_exceeds_a_capacity(
+    events, enforces, delayed_share
+):
+    site = make_granted_site(workers=1, task_ms=150, settle_ms=1000)
+    names = list(site.workers)
+    for worker in site.workers.values():
+        worker.enforces_capacity = enforces
+        worker.duration_spread = 0.5
+    for number, (worker, slots, pause_ms) in enumerate(events):
+        site.workers[names[worker]].delayed_start_share = delayed_share
+        site.submit("c-1/1", f"job-{number}", 3, is_kept=True)
+        site.resize_worker(names[worker], slots)
+        # Starts that were on their way when the worker shrunk.
+        site.run(5)
+        if not delayed_share:
+            site.over_capacity.clear()
+        site.run(pause_ms)
+        if not delayed_share:
+            assert site.over_capacity == []
+    for name in names:
+        site.workers[name].delayed_start_share = 0.0
+        site.resize_worker(name, SLOTS)
+    site.run(9000)
+    accepted = [
+        key
+        for key, (_, ended) in site.outcomes.items()
+        if ended.verdict is Verdict.ACCEPTED
+    ]
+    for key in accepted:
+        site.request_state("c-1/1", key)
+    site.run(500)
+    assert {site.reported_states[key] for key in accepted} <= {
+        JobState.COMPLETED
+    }
+    assert site.overlapping_runs() == []
+    assert site.find_restarts_after_end() == []
