Test that callers are answered beside jobs of any usable numbers

Hypothesis submits jobs with numbers up to the bounds, of all kinds, to a simulated site over a change of the holder; a plain and a kept job beside them get their answers.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -11,6 +11,8 @@
 import pytest
 from clayfield_platform.callers import PlatformCallers
 from clayfield_platform.operators import PlatformOperators
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from clayfield.base import ManualClock
 from clayfield.cluster import ControlState
@@ -38,7 +40,7 @@
     JobsWritten,
     LoadJobs,
 )
-from clayfield.wire.jobs import Job, JobState, Step, Verdict
+from clayfield.wire.jobs import Job, JobState, Schedule, Step, Verdict
 
 KEY = "5c0e7a21d94b36f8"
 UNUSABLE = [10**20, 2**64, 2**63, 2**53 + 2, -1]
@@ -287,3 +289,62 @@
     ]
     loaded = [kept.job.key for part in parts for kept in part.open_jobs]
     assert loaded == [job.key for job in jobs]
+
+
+_NUMBERS = st.sampled_from([0, 1, 2, 100, 6800, 10**6, 2**31, 2**53])
+_STEPS = st.builds(
+    Step,
+    count=st.integers(1, 4),
+    cpu=_NUMBERS,
+    memory_mb=_NUMBERS,
+    gpu=st.sampled_from([0, 0, 0, 1, 2**53]),
+    estimate_ms=_NUMBERS | st.floats(0, 2**53),
+    required_label=st.sampled_from(["", "kind", "\x00"]),
+    rack=st.sampled_from(["", "rack-a", "?"]),
+    max_per_worker=_NUMBERS,
+    is_speculative=st.booleans(),
+    is_checkpointing=st.booleans(),
+    is_gang=st.booleans(),
+    prefers_one_rack=st.booleans(),
+    is_long_running=st.booleans(),
+    target_ms=_NUMBERS,
+    is_batch=st.booleans(),
+)
+_SCHEDULES = st.none() | st.builds(
+    Schedule,
+    st.sampled_from([1, 2, 50]),
+    _NUMBERS | st.floats(0, 2**53),
+    _NUMBERS | st.floats(0, 2**53),
+)
+
+
+@given(
+    st.lists(
+        st.tuples(_STEPS, _SCHEDULES, st.booleans(), st.booleans()),
+        min_size=1,
+        max_size=4,
+    )
+)
+@settings(derandomize=True, database=None, max_examples=25, deadline=None)
+def test_callers_are_answered_beside_jobs_of_any_usable_numbers(jobs):
+    site = make_granted_site(workers=1, settle_ms=1000)
+    for number, (step, schedule, is_kept, is_advised) in enumerate(jobs):
+        site.submit(
+            "b-1/1",
+            f"job-{number}",
+            step.count,
+            2,
+            is_kept=is_kept,
+            template=step,
+            schedule=schedule,
+            is_advised=is_advised,
+        )
+        site.run(30)
+    site.submit("c-1/1", "sound", count=1)
+    site.submit("c-1/1", "kept", count=1, is_kept=True)
+    site.run(1000)
+    site.kill(HOLDER)
+    site.run(200)
+    site.grant("b-0/1", {"a": "a-1/1", "c": "c-0/1"})
+    site.run(7000)
+    assert {"sound", "kept"} <= site.outcomes.keys()
