Bound the log lines about failures, and simplify how workers are passed on

The same dropped message, failed request or exception is logged once in an interval, as failed commands are. A new worker is sent to the other entry nodes as it is used here, also when an earlier writer of its name is the one in use; of the workers that have left under one name the latest counts.

--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -14,11 +14,15 @@
 from twisted.internet import interfaces, protocol
 from twisted.python import failure
 
+from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
 MAX_PIPELINED = 64
+# Least time between two log lines about the same exception.
+LOG_INTERVAL_MS = 1000.0
 
 
 class HttpLimits:
@@ -258,7 +262,7 @@
         try:
             self._server.handle(request)
         except Exception:
-            emit(Event.INTERNAL, error=traceback.format_exc(limit=-4))
+            self._server.log_failure(traceback.format_exc(limit=-4))
             request.respond(http.HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def write_response(self, request: HttpRequest, response: bytes) -> None:
@@ -314,6 +318,7 @@
         self.limits = limits
         self.connections: set[HttpConnection] = set()
         self.is_closing = False
+        self._failures = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
         self._port: interfaces.IListeningPort | None = None
 
     def buildProtocol(self, addr: object) -> HttpConnection:  # noqa: N802
@@ -339,6 +344,11 @@
         """The port on which the server listens."""
         return self._port.getHost().port
 
+    def log_failure(self, error: str) -> None:
+        """Logs an exception of the handler, unless done lately."""
+        if self._failures.is_due(error):
+            emit(Event.INTERNAL, error=error)
+
     def check_timeouts(self) -> None:
         """Closes connections over a time limit; to be called periodically."""
         now_s = self.reactor.seconds()
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -15,8 +15,9 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python import failure
 
-from clayfield.base import ClayfieldError, ErrorKind
+from clayfield.base import ClayfieldError, ErrorKind, MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.base.repeats import RepeatFilter
 from clayfield.base.settings import parse_address as read_address
 from clayfield.state.membership import box_of
 from clayfield.wire.cluster import (
@@ -36,6 +37,8 @@
 MAX_RETRY_DELAY_S = 0.4
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 KEEPALIVE_FRAME = b""
+# Least time between two log lines about dropped messages of one type to a peer.
+LOG_INTERVAL_MS = 10_000.0
 
 
 class StreamListener(abc.ABC):
@@ -152,12 +155,7 @@
         if len(batch) > 1:
             middle = len(batch) // 2
             return self._encode(batch[:middle]) + self._encode(batch[middle:])
-        emit(
-            Event.MESSAGE_DROPPED,
-            peer=self.node,
-            message_type=type(batch[0]).__name__,
-            error=error,
-        )
+        self._streams.log_dropped(self.node, batch[0], error)
         return []
 
     def keep_alive(self) -> None:
@@ -228,6 +226,7 @@
         self._open_streams: set[_Stream] = set()
         self._by_node: dict[str, list[_Stream]] = {}
         self._roles: dict[str, str] = {}
+        self._dropped = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
         self._port: interfaces.IListeningPort | None = None
         self._keepalive_loop = task.LoopingCall(self._keep_alive)
 
@@ -283,6 +282,17 @@
 
     # Callbacks of `_Stream`.
 
+    def log_dropped(self, node: str, message: Message, error: str) -> None:
+        """Logs a message to a node that can't be sent, unless done lately."""
+        message_type = type(message).__name__
+        if self._dropped.is_due(f"{message_type} {node}"):
+            emit(
+                Event.MESSAGE_DROPPED,
+                peer=node,
+                message_type=message_type,
+                error=error,
+            )
+
     def on_connected(self, stream: _Stream) -> None:
         """Registers a connection whose peer is not identified yet."""
         self._open_streams.add(stream)
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -257,8 +257,10 @@
         )
 
     def _deliver(self, call: "_Call", reply: Reply) -> None:
-        call.on_reply(reply)
-        self._schedule_actions()
+        try:
+            call.on_reply(reply)
+        finally:
+            self._schedule_actions()
 
     def _pool_of(self, address: str) -> ConnectionPool:
         """Returns the connections to an address.
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -290,8 +290,8 @@
         latest = self._workers.put(info)
         if latest:
             log_ignored(info, latest)
-        elif self.dispatcher and self._use_worker(self.dispatcher, info.name):
-            self._broadcast(ENTRY_ROLE, WorkersPush((info,)))
+        else:
+            self._use_workers([info.name])
 
     def _use_worker(self, dispatcher: Dispatcher, name: str) -> bool:
         """Passes the latest heartbeat of a worker to the dispatcher.
@@ -318,20 +318,24 @@
         dispatcher.on_worker_heartbeat(info)
         return in_use is None
 
-    def _use_waiting_workers(self) -> None:
-        """Uses the workers whose service has become known since."""
-        if self.dispatcher is None or not self._unused_names:
+    def _use_workers(self, names: list[str]) -> None:
+        """Passes workers to the dispatcher, and the new ones to other nodes."""
+        if self.dispatcher is None:
             return
-        self._unused_names.intersection_update(self._workers.names())
-        used = [
-            name
-            for name in list(self._unused_names)
+        fleet = self.dispatcher.fleet
+        new_infos = tuple(
+            fleet.workers[name].info
+            for name in names
             if self._use_worker(self.dispatcher, name)
-        ]
-        if used:
-            workers = self.dispatcher.fleet.workers
-            infos = tuple(workers[name].info for name in used)
-            self._broadcast(ENTRY_ROLE, WorkersPush(infos))
+        )
+        if new_infos:
+            self._broadcast(ENTRY_ROLE, WorkersPush(new_infos))
+
+    def _use_waiting_workers(self) -> None:
+        """Uses the workers whose service has become known since."""
+        if self._unused_names:
+            self._unused_names.intersection_update(self._workers.names())
+            self._use_workers(sorted(self._unused_names))
 
     def _on_worker_removed(self, left: WorkerLeft) -> None:
         self._forget_worker(left.name, left.born_ms, left.address)
@@ -496,7 +500,7 @@
         Their leases were not renewed after they had left.
         """
         self._drop_ended_leases()
-        for left_ms, info in self._left_workers:
+        for left_ms, info in reversed(self._left_workers):
             is_known = info.name in dispatcher.fleet.workers
             if not is_known and self._is_scheduled_here(info):
                 dispatcher.on_worker_heartbeat(info)
--- a/packages/pool/src/clayfield/pool/job_store_client.py
+++ b/packages/pool/src/clayfield/pool/job_store_client.py
@@ -217,14 +217,14 @@
             self._send(batch, now_ms)
 
     def _take_next_changes(self) -> list[JobChangeRecord]:
-        """Returns the oldest unsent changes, as many as fit one write."""
-        size = 0
-        for count, record in enumerate(self._unsent):
+        """Returns the oldest unsent changes, one or as many as fit a write."""
+        count = 1
+        size = self._unsent[0].size
+        for record in self._unsent[1:]:
             size += record.size
-            if count and size > MAX_WRITE_BYTES:
+            if size > MAX_WRITE_BYTES:
                 break
-        else:
-            count = len(self._unsent)
+            count += 1
         taken = self._unsent[:count]
         self._unsent = self._unsent[count:]
         return taken
