Deny a job to cancel only after the leader has confirmed the holder

Cause: the authority says that no run of another holder begins before it ends, not that no job was accepted elsewhere. The reply to a request to cancel a job that is not known now waits for a confirmation by the leader that was sent after the request had arrived: at the next status message, 200 ms apart. Without one within 500 ms the result is unknown (503), and a job that is accepted meanwhile is cancelled.

--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -61,6 +61,9 @@
 DISCOVERY_MS = 3500.0
 # How long the reply about a running job is delayed in case the job ends.
 STATE_REPLY_DELAY_MS = 100.0
+# How long the reply to a request to cancel an unknown job may wait for the
+# leader's confirmation; more than two intervals of the status messages.
+CONFIRMATION_TIMEOUT_MS = 500.0
 # How much longer ended jobs are retained here than in the job store.
 RETENTION_MARGIN_MS = 30_000.0
 # Run numbers per epoch, so that those of a later holder are higher.
@@ -101,6 +104,23 @@
         self.received_ms = received_ms
 
 
+class _UnconfirmedCancel:
+    """A request to cancel a job that is not known here.
+
+    Attributes:
+        entry: the entry node.
+        message: the request as it was received.
+        received_ms: time of its arrival, in ms.
+    """
+
+    __slots__ = ("entry", "message", "received_ms")
+
+    def __init__(self, entry: str, message: CancelJob, received_ms: float):
+        self.entry = entry
+        self.message = message
+        self.received_ms = received_ms
+
+
 class KeptJobs:
     """Manages the kept jobs of one holder.
 
@@ -156,6 +176,7 @@
         self._deferred_ends: list[tuple[EndedRun, Worker]] = []
         self._unresolved: dict[str, OpenJob] = {}
         self._cancels: dict[str, list[tuple[str, int]]] = {}
+        self._unconfirmed_cancels: list[_UnconfirmedCancel] = []
         self._state_requests: dict[str, list[_StateRequest]] = {}
         self._had_authority = False
         self._authority_changed_ms = 0.0
@@ -229,7 +250,7 @@
         key = cancel.key
         open_job = self._jobs.by_key.get(key)
         if open_job is None:
-            self._reply_to_cancel(entry, cancel)
+            self._cancel_unknown(entry, cancel)
         elif open_job.pending_state is JobState.CANCELLED:
             self._cancels[key].append((entry, cancel.request))
         elif open_job.pending_state is not None:
@@ -239,14 +260,41 @@
             self._cancels[key] = [(entry, cancel.request)]
             self.store.write(JobChangeRecord(CancelKeptJob(key)))
 
-    def _reply_to_cancel(self, entry: str, cancel: CancelJob) -> None:
-        """Replies to a request to cancel a job that is not open."""
-        is_found = cancel.key in self._outcomes
-        is_authoritative = is_found or self._is_authoritative
-        reply = CancelReply(
-            cancel.request, is_found if is_authoritative else None
-        )
-        self._send(entry, reply)
+    def _cancel_unknown(self, entry: str, cancel: CancelJob) -> None:
+        """Replies to a request to cancel a job that is not open.
+
+        Whether the job exists is certain only once the leader has confirmed
+        this holder after the request arrived: the next one may have accepted
+        it before.
+        """
+        if cancel.key in self._outcomes:
+            self._send(entry, CancelReply(cancel.request, True))
+        elif cancel.request and self._is_authoritative:
+            now_ms = self._clock.now_ms()
+            self._unconfirmed_cancels.append(
+                _UnconfirmedCancel(entry, cancel, now_ms)
+            )
+        else:
+            self._send(entry, CancelReply(cancel.request, None))
+
+    def _reply_to_unconfirmed(self, now_ms: float) -> None:
+        """Replies to the requests to cancel whose job is certain not to exist.
+
+        Without a confirmation in time the result is unknown.
+        """
+        waiting: list[_UnconfirmedCancel] = []
+        for unconfirmed in self._unconfirmed_cancels:
+            request = unconfirmed.message.request
+            open_job = self._jobs.by_key.get(unconfirmed.message.key)
+            if open_job is not None and open_job.job.is_kept:
+                self.on_cancel(unconfirmed.entry, unconfirmed.message)
+            elif self.store.confirmed_ms >= unconfirmed.received_ms:
+                self._send(unconfirmed.entry, CancelReply(request, False))
+            elif now_ms - unconfirmed.received_ms > CONFIRMATION_TIMEOUT_MS:
+                self._send(unconfirmed.entry, CancelReply(request, None))
+            else:
+                waiting.append(unconfirmed)
+        self._unconfirmed_cancels = waiting
 
     def on_state_request(self, entry: str, message: JobStateRequest) -> None:
         """Handles an entry node's request for the state of a job.
@@ -534,6 +582,7 @@
         now_ms = self._clock.now_ms()
         self._resolve_inherited(now_ms)
         self._reply_overdue(now_ms)
+        self._reply_to_unconfirmed(now_ms)
         self._check_authority(now_ms)
         self._expire_ended(now_ms)
 
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -107,6 +107,8 @@
             authoritative reply.
         cancelled_ms: time at which the caller got the confirmation of a cancel,
             by job.
+        cancel_replies: the last reply to a request to cancel, by job; None if
+            the result is unknown.
         connect_timeout_ms: time after which a request to an unreachable worker
             ends without a connection, in ms; None if its reply is lost instead.
     """
@@ -147,6 +149,7 @@
         self.reported_states: dict[str, JobState | None] = {}
         self.unresolved_requests = 0
         self.cancelled_ms: dict[str, float] = {}
+        self.cancel_replies: dict[str, bool | None] = {}
         self.connect_timeout_ms: float | None = None
         self._partitioned: set[str] = set()
         self._isolated: set[str] = set()
@@ -592,8 +595,9 @@
                 case ReplyToCaller(request_id=request_id, ended=ended):
                     self._record_end(request_id, ended)
                 case ReplyToCancel(request_id=request_id, is_found=is_found):
+                    key = self._keys_by_request[request_id]
+                    self.cancel_replies[key] = is_found
                     if is_found:
-                        key = self._keys_by_request[request_id]
                         self.cancelled_ms.setdefault(key, self.clock.now_ms())
                 case ReplyToStateRequest(request_id=request_id, reply=reply):
                     self._record_state(self._keys_by_request[request_id], reply)
