Start a gang again from one checkpoint

They now resume from the first one that is known, in the order of the tasks. The simulated worker takes the checkpoint of any task of a gang and records what a start brings.

--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -610,13 +610,20 @@
         return started
 
     def _place_gang(self, tasks: list[Task], selector: WorkerSelector) -> int:
-        """Starts all tasks of a gang with the same run number, or none."""
+        """Starts all tasks of a gang with the same run number, or none.
+
+        They resume from the same checkpoint; that of any of them holds for the
+        whole gang.
+        """
         workers = selector.find_for_gang(tasks)
         if workers is None:
             return 0
         last_run = max(task.last_run for task in tasks)
+        checkpoints = (task.checkpoint for task in tasks if task.checkpoint)
+        checkpoint = next(checkpoints, "")
         for worker, task in zip(workers, tasks, strict=True):
             task.last_run = last_run
+            task.checkpoint = checkpoint
             self._start(worker, task)
         return len(tasks)
 
--- a/packages/testbed/src/clayfield/testbed/fake_worker.py
+++ b/packages/testbed/src/clayfield/testbed/fake_worker.py
@@ -46,14 +46,25 @@
     return f"{task_id.job}/{numbers}/{done_ms}"
 
 
-def read_checkpoint(text: str, task_id: TaskId) -> float:
+def read_checkpoint(
+    text: str, task_id: TaskId, is_of_gang: bool = False
+) -> float:
     """Returns the work done up to a checkpoint, in ms.
 
+    Args:
+        text: the checkpoint.
+        task_id: the task that is to resume from it.
+        is_of_gang: whether it may be that of any task of its step.
+
     Raises:
         ValueError: the checkpoint belongs to another task.
     """
     start, _, done_ms = text.rpartition("/")
-    if start != write_checkpoint(task_id, 0.0).rpartition("/")[0]:
+    expected = write_checkpoint(task_id, 0.0).rpartition("/")[0]
+    if is_of_gang:
+        start = start.rpartition("/")[0]
+        expected = expected.rpartition("/")[0]
+    if start != expected:
         raise ValueError(f"checkpoint {text!r} does not belong to {task_id}")
     return float(done_ms)
 
@@ -119,6 +130,7 @@
         start_ms: time of the start.
         end_ms: time of the end, None while it runs.
         kind: how it ended, None while it runs.
+        checkpoint: the checkpoint that its start brought, "" for none.
         resumed_ms: work done by earlier runs according to the checkpoint, in
             ms.
         speed_percent: speed of the run, in percent of its full speed.
@@ -127,6 +139,7 @@
     """
 
     __slots__ = (
+        "checkpoint",
         "end_ms",
         "resumed_ms",
         "is_acked",
@@ -148,6 +161,7 @@
         self.end_ms: float | None = None
         self.kind: EndKind | None = None
         self.is_acked = False
+        self.checkpoint = ""
         self.resumed_ms = 0.0
         self.speed_percent = 100
 
@@ -267,15 +281,16 @@
         self._running[request.task_id] = run
         self._last_numbers[request.task_id] = request.number
         self._site.runs.append(run)
+        gang = self._site.gangs.get((request.task_id.job, request.task_id.step))
         if request.checkpoint:
+            run.checkpoint = request.checkpoint
             run.resumed_ms = read_checkpoint(
-                request.checkpoint, request.task_id
+                request.checkpoint, request.task_id, gang is not None
             )
         kind = EndKind.FAILED if self.is_failing else EndKind.DONE
         spread = self._site.rng.uniform(
             1 - self.duration_spread, 1 + self.duration_spread
         )
-        gang = self._site.gangs.get((request.task_id.job, request.task_id.step))
         if gang:
             self._join_gang(gang, run, kind)
         elif not self.is_hung:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -122,3 +122,22 @@
     site.run(800)
     _assert_no_violations(site)
     _assert_completed(site, "wide", is_kept)
+
+
+@KEPT
+@pytest.mark.parametrize("after_ms", [150, 300])
+def test_tasks_of_a_gang_resume_from_the_same_checkpoint(is_kept, after_ms):
+    # Each was started again with its own, which differ by when they began.
+    site = make_granted_site(task_ms=600)
+    template = msgspec.structs.replace(
+        GANG, is_checkpointing=True, estimate_ms=600
+    )
+    site.submit("c-1/1", "gang", 4, 1, is_kept, template)
+    site.run(after_ms)
+    site.restart_worker(site.runs[0].worker)
+    site.run(4000)
+    later = [run for run in site.runs if run.number > 1]
+    assert len({run.checkpoint for run in later}) == 1
+    assert later[0].checkpoint
+    _assert_completed(site, "gang", is_kept)
+    assert site.overlapping_runs() == []
