Name the parts of a call to a worker, and share the class of waiting requests

Read as a newcomer: the callables of a call were told apart by their position, and requests for a state and unconfirmed cancels had a class each of one shape.

--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -113,10 +113,10 @@
             command.worker,
             command.address,
             COMMAND_TIMEOUT_S,
-            lambda: self._protocol.write_start(command),
-            self._protocol.read_command_reply,
-            CommandReply,
-            on_reply,
+            write=lambda: self._protocol.write_start(command),
+            read=self._protocol.read_command_reply,
+            make_failed_reply=CommandReply,
+            on_reply=on_reply,
         )
         self._send(call)
 
@@ -137,10 +137,10 @@
             command.worker,
             command.address,
             COMMAND_TIMEOUT_S,
-            lambda: self._protocol.write_stop(command),
-            self._protocol.read_command_reply,
-            CommandReply,
-            on_reply,
+            write=lambda: self._protocol.write_stop(command),
+            read=self._protocol.read_command_reply,
+            make_failed_reply=CommandReply,
+            on_reply=on_reply,
         )
         self._send(call)
 
@@ -150,10 +150,10 @@
             command.worker,
             command.address,
             COMMAND_TIMEOUT_S,
-            lambda: self._protocol.write_throttle(command),
-            self._protocol.read_command_reply,
-            CommandReply,
-            _ignore_reply,
+            write=lambda: self._protocol.write_throttle(command),
+            read=self._protocol.read_command_reply,
+            make_failed_reply=CommandReply,
+            on_reply=_ignore_reply,
         )
         self._send(call)
 
@@ -170,10 +170,10 @@
             command.worker,
             command.address,
             command.wait_ms / MS_PER_S + POLL_MARGIN_S,
-            lambda: self._protocol.write_poll(command),
-            self._protocol.read_poll_reply,
-            PollReply,
-            on_reply,
+            write=lambda: self._protocol.write_poll(command),
+            read=self._protocol.read_poll_reply,
+            make_failed_reply=PollReply,
+            on_reply=on_reply,
         )
         self._send(call)
 
@@ -190,12 +190,12 @@
             "advisor",
             self._advisor_address,
             ADVICE_TIMEOUT_S,
-            lambda: self._protocol.write_advice_request(
+            write=lambda: self._protocol.write_advice_request(
                 command, self._advisor_address
             ),
-            self._protocol.read_advice,
-            lambda _: Advice(False),
-            on_reply,
+            read=self._protocol.read_advice,
+            make_failed_reply=lambda _: Advice(False),
+            on_reply=on_reply,
         )
         self._send(call)
 
@@ -319,6 +319,7 @@
         receiver: str,
         address: str,
         timeout_s: float,
+        *,
         write: Callable[[], bytes],
         read: Callable[[CallResult], Reply],
         make_failed_reply: Callable[[CommandResult], Reply],
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -85,8 +85,8 @@
 Admit = Callable[[OpenJob], bool]
 
 
-class _StateRequest:
-    """An entry node's request for the state of a job.
+class _WaitingRequest:
+    """An entry node's request whose reply waits.
 
     Attributes:
         entry: the entry node.
@@ -97,30 +97,16 @@
     __slots__ = ("entry", "message", "received_ms")
 
     def __init__(
-        self, entry: str, message: JobStateRequest, received_ms: float
+        self,
+        entry: str,
+        message: CancelJob | JobStateRequest,
+        received_ms: float,
     ):
         self.entry = entry
         self.message = message
         self.received_ms = received_ms
 
 
-class _UnconfirmedCancel:
-    """A request to cancel a job that is not known here.
-
-    Attributes:
-        entry: the entry node.
-        message: the request as it was received.
-        received_ms: time of its arrival, in ms.
-    """
-
-    __slots__ = ("entry", "message", "received_ms")
-
-    def __init__(self, entry: str, message: CancelJob, received_ms: float):
-        self.entry = entry
-        self.message = message
-        self.received_ms = received_ms
-
-
 class KeptJobs:
     """Manages the kept jobs of one holder.
 
@@ -176,8 +162,8 @@
         self._deferred_ends: list[tuple[EndedRun, Worker]] = []
         self._unresolved: dict[str, OpenJob] = {}
         self._cancels: dict[str, list[tuple[str, int]]] = {}
-        self._unconfirmed_cancels: list[_UnconfirmedCancel] = []
-        self._state_requests: dict[str, list[_StateRequest]] = {}
+        self._unconfirmed_cancels: list[_WaitingRequest] = []
+        self._state_requests: dict[str, list[_WaitingRequest]] = {}
         self._had_authority = False
         self._authority_changed_ms = 0.0
 
@@ -219,6 +205,7 @@
     def _accept(self, entry: str, submit: SubmitJob) -> None:
         """Opens an admitted job and writes its acceptance; else refuses it."""
         job = submit.job
+        # An entry node of an earlier version may pass on any number.
         can_store = find_stored_size(AcceptJob(job)) is not None
         if not can_store or not self.store.has_authority:
             self._refuse(entry, submit, Reason.NOT_STORED)
@@ -272,7 +259,7 @@
         elif cancel.request and self._is_authoritative:
             now_ms = self._clock.now_ms()
             self._unconfirmed_cancels.append(
-                _UnconfirmedCancel(entry, cancel, now_ms)
+                _WaitingRequest(entry, cancel, now_ms)
             )
         else:
             self._send(entry, CancelReply(cancel.request, None))
@@ -282,18 +269,18 @@
 
         Without a confirmation in time the result is unknown.
         """
-        waiting: list[_UnconfirmedCancel] = []
-        for unconfirmed in self._unconfirmed_cancels:
-            request = unconfirmed.message.request
-            open_job = self._jobs.by_key.get(unconfirmed.message.key)
+        waiting: list[_WaitingRequest] = []
+        for pending in self._unconfirmed_cancels:
+            request = pending.message.request
+            open_job = self._jobs.by_key.get(pending.message.key)
             if open_job is not None and open_job.job.is_kept:
-                self.on_cancel(unconfirmed.entry, unconfirmed.message)
-            elif self.store.confirmed_ms >= unconfirmed.received_ms:
-                self._send(unconfirmed.entry, CancelReply(request, False))
-            elif now_ms - unconfirmed.received_ms > CONFIRMATION_TIMEOUT_MS:
-                self._send(unconfirmed.entry, CancelReply(request, None))
+                self.on_cancel(pending.entry, pending.message)
+            elif self.store.confirmed_ms >= pending.received_ms:
+                self._send(pending.entry, CancelReply(request, False))
+            elif now_ms - pending.received_ms > CONFIRMATION_TIMEOUT_MS:
+                self._send(pending.entry, CancelReply(request, None))
             else:
-                waiting.append(unconfirmed)
+                waiting.append(pending)
         self._unconfirmed_cancels = waiting
 
     def on_state_request(self, entry: str, message: JobStateRequest) -> None:
@@ -302,13 +289,13 @@
         Callers usually send it at about the time when a job ends, so the reply
         for a running job is delayed a little in case it ends meanwhile.
         """
-        pending = _StateRequest(entry, message, self._clock.now_ms())
+        pending = _WaitingRequest(entry, message, self._clock.now_ms())
         if self._state_of(message.key) is JobState.RUNNING:
             self._state_requests.setdefault(message.key, []).append(pending)
         else:
             self._reply(pending)
 
-    def _reply(self, pending: _StateRequest) -> None:
+    def _reply(self, pending: _WaitingRequest) -> None:
         message = pending.message
         state = self._state_of(message.key)
         is_authoritative = state is not None or self._is_authoritative
