--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from clayfield.node.httpclient import CallOutcome, CallResult
+from clayfield.node.native import NativeWorkers
 from clayfield.pool import CommandResult, TaskId
 from clayfield.testbed.pool_site import HOLDER, make_granted_site
 from clayfield.wire.jobs import JobState
@@ -176,3 +177,42 @@
     assert site.find_violations() == []
     assert site.find_restarts_after_end() == []
     assert len({run.task_id for run in site.runs}) == 3
+
+
+def _read_native(ended, running=()):
+    body = {"result": "done", "clock_ms": 5, "ended": ended}
+    body["running"] = list(running)
+    content = json.dumps(body).encode()
+    result = CallResult(CallOutcome.ANSWERED, 200, content)
+    return NativeWorkers().read_poll_reply(result)
+
+
+NATIVE_ENDED = {
+    "sequence": 1,
+    "task": ["job", 0, 0],
+    "number": 1,
+    "kind": "done",
+}
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        None,
+        7,
+        {},
+        {**NATIVE_ENDED, "sequence": 2, "task": 7},
+        {**NATIVE_ENDED, "sequence": 2, "number": "1"},
+        {**NATIVE_ENDED, "sequence": 2, "kind": "unknown"},
+    ],
+)
+def test_native_row_that_names_no_run_is_left_out_alone(row):
+    reply = _read_native([NATIVE_ENDED, row])
+    assert reply.result is CommandResult.DONE
+    assert TaskId("job", 0, 0) in [run.task_id for run in reply.ended]
+
+
+@pytest.mark.parametrize("number", [10**20, 2**64, -1])
+def test_native_row_with_an_unusable_number_names_no_run(number):
+    reply = _read_native([{**NATIVE_ENDED, "number": number}])
+    assert number not in [run.number for run in reply.ended]
