Log each step of a configuration, and the bytes that wait on streams

The log had one line for a change, CONFIG_IN_FORCE at entry nodes, so that a copy that waits on a slow link, a stream that is silent and a control node that stores late looked alike, as did a stale lease and a lost record. One line now marks each step at each node (3003 to 3009): proposed, stored, committed, acknowledged, sent to one entry node, received, read with the time left of the lease. Lines about configurations sent again are limited to one a second for each node and version. Metrics count the waiting bytes and the copies received. The unused limit of unsent bytes of a stream is gone.

Test: test_log_has_each_step_of_a_configuration.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -104,6 +104,48 @@
     CONFIG_REJECTED = _Spec(
         3002, logbook.WARNING, "a configuration was rejected", ("error",)
     )
+    CONFIG_PROPOSED = _Spec(
+        3003,
+        logbook.INFO,
+        "this leader appended a configuration to its log",
+        ("version", "index", "bytes"),
+    )
+    CONFIG_STORED = _Spec(
+        3004,
+        logbook.INFO,
+        "a configuration is on this node's disk",
+        ("version", "index"),
+    )
+    CONFIG_COMMITTED = _Spec(
+        3005,
+        logbook.INFO,
+        "a configuration is committed and goes to the entry nodes",
+        ("version", "index", "entry_nodes"),
+    )
+    CONFIG_ACKNOWLEDGED = _Spec(
+        3006,
+        logbook.INFO,
+        "an operator's write was answered",
+        ("version", "active_version", "outcome", "took_ms"),
+    )
+    CONFIG_RESENT = _Spec(
+        3007,
+        logbook.WARNING,
+        "a configuration is sent to an entry node that reports an older one",
+        ("peer", "version", "reported_version", "waiting_bytes"),
+    )
+    CONFIG_RECEIVED = _Spec(
+        3008,
+        logbook.INFO,
+        "an entry node received a configuration for the first time",
+        ("version", "peer", "bytes"),
+    )
+    CONFIG_READ = _Spec(
+        3009,
+        logbook.INFO,
+        "an operator read the configuration",
+        ("version", "term", "lease_left_ms"),
+    )
     STORE_REPAIRED = _Spec(
         4001,
         logbook.WARNING,
--- a/packages/cluster/src/clayfield/cluster/__init__.py
+++ b/packages/cluster/src/clayfield/cluster/__init__.py
@@ -13,7 +13,7 @@
     WriteOutcome,
 )
 from clayfield.cluster.control import ControlNode, make_initial_records
-from clayfield.cluster.control_state import ControlState
+from clayfield.cluster.control_state import ControlState, find_config_version
 from clayfield.cluster.voters import VoterPolicy
 
 __all__ = [
@@ -26,5 +26,6 @@
     "VoterPolicy",
     "WriteFinished",
     "WriteOutcome",
+    "find_config_version",
     "make_initial_records",
 ]
--- a/packages/cluster/src/clayfield/cluster/actions.py
+++ b/packages/cluster/src/clayfield/cluster/actions.py
@@ -76,14 +76,31 @@
         request: number of the request that is answered.
         outcome: outcome of the write.
         version: active version, 0 if the outcome is unknown.
+        requested_version: version that was to be written.
+        took_ms: time since the request, in ms.
     """
 
-    __slots__ = ("outcome", "request", "version")
+    __slots__ = (
+        "outcome",
+        "request",
+        "requested_version",
+        "took_ms",
+        "version",
+    )
 
-    def __init__(self, request: int, outcome: WriteOutcome, version: int):
+    def __init__(
+        self,
+        request: int,
+        outcome: WriteOutcome,
+        version: int,
+        requested_version: int,
+        took_ms: float,
+    ):
         self.request = request
         self.outcome = outcome
         self.version = version
+        self.requested_version = requested_version
+        self.took_ms = took_ms
 
 
 Action = Send | Broadcast | Persist | WriteFinished
--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -8,6 +8,7 @@
 import random
 
 from clayfield.base import Clock
+from clayfield.base.events import Event, emit
 from clayfield.cluster.actions import (
     Action,
     Broadcast,
@@ -173,6 +174,11 @@
         """Whether an entry node is connected."""
         return bool(self._holder_selector.nodes())
 
+    def reported_version(self, entry: str) -> int:
+        """Returns the configuration that an entry node reported, 0 if none."""
+        status = self._holder_selector.status_of(entry)
+        return status.config_version if status else 0
+
     @property
     def addresses(self) -> set[str]:
         """Known addresses of the other control nodes."""
@@ -257,17 +263,21 @@
         """
         if not self.is_state_current:
             return False
+        write = _PendingWrite(version, self._clock.now_ms())
         if version <= self.state.version:
-            self._finish_write(
-                request, WriteOutcome.IN_FORCE, self.state.version
-            )
+            self._finish_write(request, write, WriteOutcome.IN_FORCE)
             return True
         command = encode_command(SetConfig(version, document))
-        if self.consensus.propose(command) is None:
+        position = self.consensus.propose(command)
+        if position is None:
             return False
-        self._pending_writes[request] = _PendingWrite(
-            version, self._clock.now_ms()
+        emit(
+            Event.CONFIG_PROPOSED,
+            version=version,
+            index=position[0],
+            bytes=len(document),
         )
+        self._pending_writes[request] = write
         return True
 
     def on_persisted(self, last_index: int) -> None:
@@ -351,6 +361,12 @@
         if self.state.version > self._published_version:
             self._published_version = self.state.version
             self._actions.append(Broadcast(self._config_push()))
+            emit(
+                Event.CONFIG_COMMITTED,
+                version=self.state.version,
+                index=self.consensus.commit_index,
+                entry_nodes=len(self._holder_selector.nodes()),
+            )
         grant: Grant = self.state.grant
         if grant.epoch > self._published_epoch:
             self._published_epoch = grant.epoch
@@ -362,17 +378,24 @@
         for request, write in list(self._pending_writes.items()):
             if self.state.version >= write.version:
                 del self._pending_writes[request]
-                self._finish_write(
-                    request, WriteOutcome.IN_FORCE, self.state.version
-                )
+                self._finish_write(request, write, WriteOutcome.IN_FORCE)
             elif now_ms - write.since_ms > WRITE_TIMEOUT_MS:
                 del self._pending_writes[request]
-                self._finish_write(request, WriteOutcome.UNKNOWN, 0)
+                self._finish_write(request, write, WriteOutcome.UNKNOWN)
 
     def _finish_write(
-        self, request: int, outcome: WriteOutcome, version: int
+        self, request: int, write: _PendingWrite, outcome: WriteOutcome
     ) -> None:
-        self._actions.append(WriteFinished(request, outcome, version))
+        is_known = outcome is WriteOutcome.IN_FORCE
+        self._actions.append(
+            WriteFinished(
+                request,
+                outcome,
+                self.state.version if is_known else 0,
+                write.version,
+                self._clock.now_ms() - write.since_ms,
+            )
+        )
 
     def _config_push(self) -> ConfigPush:
         return ConfigPush(self.state.version, self.state.document)
--- a/packages/cluster/src/clayfield/cluster/control_state.py
+++ b/packages/cluster/src/clayfield/cluster/control_state.py
@@ -93,6 +93,17 @@
     return msgspec.msgpack.encode(command)
 
 
+# Type tag of an encoded `SetConfig`: an array of three, then its name.
+_SET_CONFIG_HEAD = encode_command(SetConfig(0, b""))[: 2 + len("SetConfig")]
+
+
+def find_config_version(command: bytes) -> int | None:
+    """Returns the version that an encoded command activates, if it does."""
+    if not command.startswith(_SET_CONFIG_HEAD):
+        return None
+    return _command_decoder.decode(command).version
+
+
 class ControlState(StateMachine):
     """The active configuration, the latest grant and the kept jobs.
 
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -22,6 +22,7 @@
     VoterPolicy,
     WriteFinished,
     WriteOutcome,
+    find_config_version,
     make_initial_records,
 )
 from clayfield.daemon.store import Store
@@ -39,9 +40,10 @@
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import NodeSettings, format_address
 from clayfield.node.streams import StreamListener, Streams
+from clayfield.state import Append
 from clayfield.state.membership import node_name
-from clayfield.wire.cluster import NodeGreeting
-from clayfield.wire.messages import Message
+from clayfield.wire.cluster import ConfigPush, NodeGreeting
+from clayfield.wire.messages import ENTRY_COMMAND, Message
 
 ROLE = "control"
 TICKS_PER_CHECK = 25
@@ -52,6 +54,8 @@
 STOP_DELAY_S = 0.3
 # Least time between two log lines about rejected heartbeats of one name.
 LOG_INTERVAL_MS = 10_000.0
+# Least time between two log lines about configurations sent again to a node.
+RESEND_LOG_INTERVAL_MS = 1000.0
 # Length to which the name in such a line is cut; the sender chooses it.
 MAX_LOGGED_NAME = 200
 
@@ -96,9 +100,10 @@
             reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
         )
         self._server = HttpServer(reactor, self._on_request, _make_limits)
-        self._metrics = ControlMetrics(self._control)
+        self._metrics = ControlMetrics(self._control, self._streams)
         self._metrics_server = MetricsServer(reactor, self._metrics)
         self._rejections = RepeatFilter(self._clock, LOG_INTERVAL_MS)
+        self._resends = RepeatFilter(self._clock, RESEND_LOG_INTERVAL_MS)
         self._pending_requests: dict[int, HttpRequest] = {}
         self._last_request_id = 0
         self._ticks = 0
@@ -220,6 +225,12 @@
         if not self._control.is_state_current:
             self._redirect_to_leader(request)
         elif self._control.state.version:
+            emit(
+                Event.CONFIG_READ,
+                version=self._control.state.version,
+                term=self._control.consensus.term,
+                lease_left_ms=round(self._control.consensus.lease_left_ms),
+            )
             _reply(request, HttpReply(200, self._control.state.document))
         else:
             _reply(request, HttpReply(503))
@@ -235,6 +246,13 @@
         _reply(request, reply)
 
     def _on_write_finished(self, result: WriteFinished) -> None:
+        emit(
+            Event.CONFIG_ACKNOWLEDGED,
+            version=result.requested_version,
+            active_version=result.version,
+            outcome=result.outcome.value,
+            took_ms=round(result.took_ms),
+        )
         request = self._pending_requests.pop(result.request, None)
         if request is None:
             return
@@ -269,6 +287,8 @@
     def _run_action(self, action: Action) -> None:
         match action:
             case Send(node=node, message=message):
+                if isinstance(message, ConfigPush):
+                    self._log_resent(node, message)
                 self._streams.send(node, message)
             case Broadcast(message=message):
                 self._streams.broadcast("entry", message)
@@ -277,6 +297,17 @@
             case WriteFinished():
                 self._on_write_finished(action)
 
+    def _log_resent(self, node: str, push: ConfigPush) -> None:
+        """Logs a configuration sent to one entry node, unless done lately."""
+        if self._resends.is_due(f"{node} {push.version}"):
+            emit(
+                Event.CONFIG_RESENT,
+                peer=node,
+                version=push.version,
+                reported_version=self._control.reported_version(node),
+                waiting_bytes=self._streams.waiting_bytes(node),
+            )
+
     def _persist(self, action: Persist) -> None:
         """Writes an action's records to disk, then sends its messages.
 
@@ -310,6 +341,7 @@
 
     def _after_sync(self, action: Persist) -> None:
         """Sends the messages of an action whose records are on disk."""
+        _log_stored(action)
         for message in action.messages:
             self._streams.send(message.to, message)
         self._control.on_persisted(action.last_index)
@@ -323,6 +355,15 @@
         self.fail(failure.getErrorMessage())
 
 
+def _log_stored(action: Persist) -> None:
+    """Logs the configurations among records that are on disk."""
+    for record in action.records:
+        if isinstance(record, Append) and record.entry.kind == ENTRY_COMMAND:
+            version = find_config_version(record.entry.data)
+            if version is not None:
+                emit(Event.CONFIG_STORED, version=version, index=record.index)
+
+
 def _make_limits() -> HttpLimits:
     return HttpLimits(body_bytes=MAX_DOCUMENT_BYTES)
 
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -143,7 +143,7 @@
         self._server = HttpServer(reactor, self._on_request, self._get_limits)
         self._readiness = HttpServer(reactor, self._on_readiness, HttpLimits)
         self._pending: dict[int, _PendingRequest] = {}
-        self._metrics = EntryMetrics(self._entry, self._commands)
+        self._metrics = EntryMetrics(self._entry, self._commands, self._streams)
         self._metrics_server = MetricsServer(reactor, self._metrics)
         self._last_request_id = 0
         self._ticks = 0
@@ -342,7 +342,7 @@
                 for address in addresses:
                     self._streams.connect(address)
             case ConfigPush():
-                self._on_config(message)
+                self._on_config(node, message)
             case Grant(epoch=epoch, holder=holder):
                 if epoch > self._entry.grant.epoch:
                     emit(Event.GRANT_KNOWN, epoch=epoch, holder=holder)
@@ -350,9 +350,16 @@
             case _:
                 self._entry.on_message(node, message)
 
-    def _on_config(self, push: ConfigPush) -> None:
+    def _on_config(self, node: str, push: ConfigPush) -> None:
+        self._metrics.on_config_received()
         if not self._entry.needs_config(push):
             return
+        emit(
+            Event.CONFIG_RECEIVED,
+            version=push.version,
+            peer=node,
+            bytes=len(push.document),
+        )
         table = self._operators.read_table(push.document)
         if self._entry.on_config(table):
             emit(Event.CONFIG_IN_FORCE, version=table.version)
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -13,6 +13,7 @@
     HttpServer,
 )
 from clayfield.node.settings import NodeSettings
+from clayfield.node.streams import Streams
 from clayfield.node.workers import WorkerCommands
 from clayfield.pool import EntryNode
 from clayfield.wire.cluster import JobEnded
@@ -23,7 +24,8 @@
 class NodeMetrics:
     """The metrics of nodes of both roles."""
 
-    def __init__(self) -> None:
+    def __init__(self, streams: Streams) -> None:
+        self._streams = streams
         self._registry = Registry()
         self._gauges: dict[str, Gauge] = {}
         self._dropped = Counter(
@@ -45,6 +47,11 @@
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         self._dropped.set({}, dropped_line_count())
+        self._set(
+            "stream_waiting_bytes",
+            "Bytes that wait to be sent to other nodes.",
+            self._streams.waiting_bytes(),
+        )
         self._update()
         content, _ = render(self._registry, ["text/plain"])
         return content
@@ -56,8 +63,10 @@
 class EntryMetrics(NodeMetrics):
     """The metrics of an entry node."""
 
-    def __init__(self, entry: EntryNode, commands: WorkerCommands):
-        super().__init__()
+    def __init__(
+        self, entry: EntryNode, commands: WorkerCommands, streams: Streams
+    ):
+        super().__init__(streams)
         self._entry = entry
         self._commands = commands
         self._jobs_ended = Counter(
@@ -72,6 +81,16 @@
             registry=self._registry,
         )
 
+        self._configs_received = Counter(
+            "clayfield_configs_received_total",
+            "Copies of configurations received from control nodes.",
+            registry=self._registry,
+        )
+
+    def on_config_received(self) -> None:
+        """Counts a copy of a configuration from a control node."""
+        self._configs_received.inc({})
+
     def on_answered(
         self, queue: str, ended: JobEnded, response_ms: float
     ) -> None:
@@ -119,8 +138,8 @@
 class ControlMetrics(NodeMetrics):
     """The metrics of a control node."""
 
-    def __init__(self, control: ControlNode):
-        super().__init__()
+    def __init__(self, control: ControlNode, streams: Streams):
+        super().__init__(streams)
         self._control = control
         self._rejected = Counter(
             "clayfield_heartbeats_rejected_total",
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -35,7 +35,6 @@
 PEER_TIMEOUT_S = 1.1
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.4
-MAX_UNSENT_BYTES = 32 * 1024 * 1024
 KEEPALIVE_FRAME = b""
 # Least time between two log lines about dropped messages of one type to a peer.
 LOG_INTERVAL_MS = 10_000.0
@@ -75,7 +74,6 @@
         self.last_received_s = 0.0
         self._queue: list[Message] = []
         self._is_flush_due = False
-        self._unsent_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
         """Sends this node's greeting."""
@@ -158,6 +156,13 @@
         self._streams.log_dropped(self.node, batch[0], error)
         return []
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Number of bytes that the system has not accepted for sending yet."""
+        transport = self.transport
+        buffered = len(transport.dataBuffer) - transport.offset
+        return buffered + transport._tempDataLen
+
     def keep_alive(self) -> None:
         """Sends a keepalive frame, or aborts if the peer timed out."""
         idle_s = self._streams.reactor.seconds() - self.last_received_s
@@ -276,6 +281,17 @@
             if self._roles[node] == role:
                 streams[-1].send(message)
 
+    def waiting_bytes(self, node: str | None = None) -> int:
+        """Returns how many bytes wait to be sent.
+
+        Args:
+            node: a connected node; None for all streams.
+        """
+        streams = self._open_streams
+        if node is not None:
+            streams = self._by_node.get(node, [])
+        return sum(stream.waiting_bytes for stream in streams)
+
     def _keep_alive(self) -> None:
         for stream in list(self._open_streams):
             stream.keep_alive()
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -200,7 +200,14 @@
     @property
     def has_lease(self) -> bool:
         """Whether this node leads and its lease excludes any other leader."""
-        return self.is_leader and self._clock.now_ms() < self._lease_end_ms()
+        return self.lease_left_ms > 0
+
+    @property
+    def lease_left_ms(self) -> float:
+        """Time until the lease of this node ends, in ms; 0 without one."""
+        if not self.is_leader:
+            return 0.0
+        return max(0.0, self._lease_end_ms() - self._clock.now_ms())
 
     @property
     def has_committed_in_term(self) -> bool:
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -288,17 +288,47 @@
     assert by_name["JOB_ENDED"]["starts"] == 4
 
 
-def _events(pool, name):
-    """Returns the log lines of an event at all entry nodes."""
+def _events(pool, name, nodes=None):
+    """Returns the log lines of an event, by default of all entry nodes."""
     lines = [
         json.loads(line)
-        for entry in pool.entries
-        for line in entry.log.read_text().splitlines()
+        for node in nodes or pool.entries
+        for line in node.log.read_text().splitlines()
         if f'"{name}"' in line
     ]
     return [line for line in lines if line["name"] == name]
 
 
+def _count_by_version(pool, name, nodes, version):
+    lines = _events(pool, name, nodes)
+    return sum(line["version"] == version for line in lines)
+
+
+def test_log_has_each_step_of_a_configuration(pool):
+    pool.controls[0].request("GET", "/v1/routing")
+    expected = {
+        "CONFIG_PROPOSED": (pool.controls, 1),
+        "CONFIG_STORED": (pool.controls, 3),
+        "CONFIG_COMMITTED": (pool.controls, 3),
+        "CONFIG_RECEIVED": (pool.entries, 2),
+        "CONFIG_IN_FORCE": (pool.entries, 2),
+    }
+    for name, (nodes, count) in expected.items():
+        wait_for(
+            lambda name=name, nodes=nodes, count=count: (
+                _count_by_version(pool, name, nodes, 3) == count
+            ),
+            f"{count} lines {name}",
+        )
+    answers = _events(pool, "CONFIG_ACKNOWLEDGED", pool.controls)
+    assert {line["outcome"] for line in answers} == {"in-force"}
+    for control in pool.controls:
+        control.request("GET", "/v1/routing")
+    reads = _events(pool, "CONFIG_READ", pool.controls)
+    assert reads
+    assert all(line["lease_left_ms"] > 0 for line in reads)
+
+
 def test_tasks_on_workers_that_restart_under_their_names_run_once(pool):
     pool.workers.send_signal(signal.SIGUSR1)
     wait_for(
