Read the settings again when their file changes without a signal

An entry node read new seeds only at a SIGHUP, while the platform may change the file without one. A node whose seeds were all replaced that way stayed connected to none, and so without a configuration, for ever.

A file that can't be read is logged (RELOAD_FAILED) and leaves the former settings; before, a SIGHUP then raised in the event loop.

Test: test_seeds_that_change_without_a_signal_are_connected_to; without the check in the tick it ended with TimeoutError after 30 s, with it it passes.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -62,6 +62,12 @@
     RELOADED = _Spec(
         1011, logbook.INFO, "the settings were reloaded", ("node",)
     )
+    RELOAD_FAILED = _Spec(
+        1012,
+        logbook.WARNING,
+        "the settings can't be read; those read before stay in use",
+        ("path", "error"),
+    )
     PEER_CONNECTED = _Spec(
         2001, logbook.INFO, "a stream to a peer opened", ("peer",)
     )
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Callable
 
 from twisted.internet import reactor, threads
 
@@ -39,6 +38,7 @@
 from clayfield.node.metrics import ControlMetrics, MetricsServer
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import NodeSettings, format_address
+from clayfield.node.settings_source import SettingsSource
 from clayfield.node.streams import StreamListener, Streams
 from clayfield.state import Append
 from clayfield.state.membership import node_name
@@ -71,19 +71,19 @@
         self,
         cfg: NodeSettings,
         operators: OperatorProtocol,
-        reload_settings: Callable[[], NodeSettings],
+        settings: SettingsSource,
     ):
         """Opens the store and creates the process; `run` starts it.
 
         Args:
             cfg: the settings of the node.
             operators: protocol for operators and workers' heartbeats.
-            reload_settings: returns the settings, read again.
+            settings: where the settings are read again.
         """
         super().__init__(cfg.name, ROLE)
         self._cfg = cfg
         self._operators = operators
-        self._reload_settings = reload_settings
+        self._settings = settings
         self._clock = MonotonicClock()
         self._store = self._open_store()
         node = node_name(format_address(cfg.peers), self._store.disk_id)
@@ -143,6 +143,8 @@
         self._ticks += 1
         if self._ticks % TICKS_PER_CHECK == 0:
             self._server.check_timeouts()
+            if self._settings.has_changed():
+                self.reload()
         is_leading = self._control.is_state_current
         if is_leading != self._was_leading:
             self._was_leading = is_leading
@@ -151,8 +153,9 @@
 
     def reload(self) -> None:
         """Reads the settings again and connects to new seeds."""
-        cfg = self._reload_settings()
-        emit(Event.RELOADED, node=self._cfg.name)
+        cfg = self._settings.reload()
+        if cfg is None:
+            return
         self._control.add_addresses(
             tuple(format_address(seed) for seed in cfg.seeds)
         )
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -26,6 +26,7 @@
 from clayfield.node.metrics import EntryMetrics, MetricsServer
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import NodeSettings, format_address
+from clayfield.node.settings_source import SettingsSource
 from clayfield.node.streams import StreamListener, Streams
 from clayfield.node.workers import WorkerCommands
 from clayfield.pool import (
@@ -104,7 +105,7 @@
         callers: CallerProtocol,
         operators: OperatorProtocol,
         workers: WorkerProtocol,
-        reload_settings: Callable[[], NodeSettings],
+        settings: SettingsSource,
     ):
         """Creates the process; `run` starts it.
 
@@ -114,13 +115,13 @@
             operators: protocol for operators, here the decoder of
                 configurations.
             workers: protocol for workers and the advisor.
-            reload_settings: returns the settings, read again.
+            settings: where the settings are read again.
         """
         super().__init__(cfg.name, ROLE)
         self._cfg = cfg
         self._callers = callers
         self._operators = operators
-        self._reload_settings = reload_settings
+        self._settings = settings
         self._clock = MonotonicClock()
         incarnation = int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
         self._node = node_name(format_address(cfg.peers), incarnation)
@@ -166,6 +167,8 @@
         self._ticks += 1
         if self._ticks % TICKS_PER_CHECK == 0:
             self._server.check_timeouts()
+            if self._settings.has_changed():
+                self.reload()
             self._readiness.check_timeouts()
             self._commands.drop_unused()
         self._log_changes()
@@ -185,8 +188,9 @@
 
     def reload(self) -> None:
         """Reads the settings again and connects to new seeds."""
-        cfg = self._reload_settings()
-        emit(Event.RELOADED, node=self._cfg.name)
+        cfg = self._settings.reload()
+        if cfg is None:
+            return
         for seed in cfg.seeds:
             self._streams.connect(format_address(seed))
 
--- a/packages/node/src/clayfield/node/main.py
+++ b/packages/node/src/clayfield/node/main.py
@@ -16,6 +16,7 @@
 from clayfield.node.native import NativeCallers, NativeOperators, NativeWorkers
 from clayfield.node.process import NodeProcess
 from clayfield.node.settings import Address, NodeSettings
+from clayfield.node.settings_source import SettingsSource
 from clayfield.pool.timing import PoolTiming
 
 EXIT_FAILED = 1
@@ -192,7 +193,7 @@
         cfg = load_settings()
         check_role(flags.role, cfg)
         configure_bounded_logging(cfg.log_level)
-        process = _make_process(flags.role, cfg, load_settings)
+        process = _make_process(flags.role, cfg, SettingsSource(load_settings))
     except ClayfieldError as exc:
         print(f"clayfield-node: {exc}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
@@ -201,17 +202,17 @@
 
 
 def _make_process(
-    role: str, cfg: NodeSettings, load_settings: object
+    role: str, cfg: NodeSettings, settings: SettingsSource
 ) -> NodeProcess:
     if role == "control":
         from clayfield.node.control_process import ControlProcess
 
-        return ControlProcess(cfg, NativeOperators(), load_settings)
+        return ControlProcess(cfg, NativeOperators(), settings)
     from clayfield.node.entry_process import EntryProcess, to_timing
 
     check_resubmit_ms(to_timing(cfg))
     return EntryProcess(
-        cfg, NativeCallers(), NativeOperators(), NativeWorkers(), load_settings
+        cfg, NativeCallers(), NativeOperators(), NativeWorkers(), settings
     )
 
 
