Let the store take its file operations from a data folder object

The store called os and pathlib directly, so that no test could make the images that a loss of power leaves.

--- a/packages/daemon/src/clayfield/daemon/store.py
+++ b/packages/daemon/src/clayfield/daemon/store.py
@@ -10,8 +10,6 @@
 error, since it cannot come from an interrupted write.
 """
 
-import os
-import pathlib
 import struct
 import time
 
@@ -20,6 +18,7 @@
 
 from clayfield.base import ClayfieldError, ErrorKind
 from clayfield.base.events import Event, emit
+from clayfield.daemon.data_folder import DataFolder, OsDataFolder
 from clayfield.state import (
     ANY_RECORD,
     Append,
@@ -35,7 +34,7 @@
 MAX_RECORD_BYTES = 256 * 1024 * 1024
 IDENTITY_FILE = "made"
 LOG_PREFIX = "log-"
-FOLDER_MODE = 0o700
+TEMPORARY_SUFFIX = ".new"
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(ANY_RECORD)
@@ -51,11 +50,11 @@
         state: state restored from the records when the folder was opened.
     """
 
-    def __init__(self, folder: str, disk_id: int | None = None):
+    def __init__(self, folder: str | DataFolder, disk_id: int | None = None):
         """Opens a data folder, or creates it.
 
         Args:
-            folder: path of the folder.
+            folder: the folder or its path.
             disk_id: identity of a new folder; None for its creation time, in
                 ns.
 
@@ -63,12 +62,12 @@
             ClayfieldError: of kind STORE_DAMAGED, when the content is invalid;
                 of kind STORE_FAILED, when it cannot be read or written.
         """
-        self._folder = pathlib.Path(folder)
+        is_path = isinstance(folder, str)
+        self._folder = OsDataFolder(folder) if is_path else folder
         self._fd = -1
         self._log_number = 0
-        self._path = self._folder
         try:
-            self._folder.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
+            self._folder.make()
             self.disk_id = self._read_identity(disk_id)
             records = self._open_log()
         except OSError as exc:
@@ -80,64 +79,61 @@
 
     def _read_identity(self, disk_id: int | None) -> int:
         """Returns the identity of the folder; stores it in a new one."""
-        path = self._folder / IDENTITY_FILE
-        if path.exists():
-            return int(path.read_text())
+        if IDENTITY_FILE in self._folder.list_names():
+            return int(self._folder.read(IDENTITY_FILE))
         if self._find_log_numbers():
+            path = self._folder.path_of(IDENTITY_FILE)
             raise ClayfieldError(
                 ErrorKind.STORE_DAMAGED,
                 f"{path} is missing, but the folder has a log.",
             )
         new_id = time.time_ns() if disk_id is None else disk_id
-        self._replace_file(path, str(new_id).encode())
+        self._replace_file(IDENTITY_FILE, str(new_id).encode())
         return new_id
 
     def _find_log_numbers(self) -> list[int]:
-        names = (p.name for p in self._folder.glob(LOG_PREFIX + "*"))
-        numbers = [n.removeprefix(LOG_PREFIX) for n in names]
+        names = self._folder.list_names()
+        logs = [name for name in names if name.startswith(LOG_PREFIX)]
+        numbers = [name.removeprefix(LOG_PREFIX) for name in logs]
         return sorted(int(n) for n in numbers if n.isdigit())
 
-    def _replace_file(self, path: pathlib.Path, data: bytes) -> None:
+    def _replace_file(self, name: str, data: bytes) -> None:
         """Replaces a file atomically and durably."""
-        temporary_path = path.with_name(path.name + ".new")
-        with open(temporary_path, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(temporary_path, path)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        fd = os.open(self._folder, os.O_RDONLY)
+        temporary_name = name + TEMPORARY_SUFFIX
+        fd = self._folder.open(temporary_name)
         try:
-            os.fsync(fd)
+            self._folder.truncate(fd, 0)
+            self._folder.append(fd, data)
+            self._folder.sync(fd)
         finally:
-            os.close(fd)
+            self._folder.close(fd)
+        self._folder.rename(temporary_name, name)
+        self._folder.sync_names()
 
     def _open_log(self) -> list[Record]:
         """Opens the latest log for appending and returns its records."""
         numbers = self._find_log_numbers()
         self._log_number = numbers[-1] if numbers else 1
-        self._path = self._folder / f"{LOG_PREFIX}{self._log_number}"
-        data = self._path.read_bytes() if numbers else b""
-        records, valid_bytes = read_records(data, str(self._path))
-        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self._fd = os.open(self._path, flags, 0o600)
+        name = _log_name(self._log_number)
+        path = self._folder.path_of(name)
+        data = self._folder.read(name) if numbers else b""
+        records, valid_bytes = read_records(data, path)
+        self._fd = self._folder.open(name)
         if valid_bytes < len(data):
             emit(
                 Event.STORE_REPAIRED,
-                path=str(self._path),
+                path=path,
                 bytes=len(data) - valid_bytes,
             )
-            os.ftruncate(self._fd, valid_bytes)
-            os.fsync(self._fd)
-        self._sync_folder()
+            self._folder.truncate(self._fd, valid_bytes)
+            self._folder.sync(self._fd)
+        self._folder.sync_names()
         self._delete_logs(numbers[:-1])
         return records
 
     def _delete_logs(self, numbers: list[int]) -> None:
         for number in numbers:
-            (self._folder / f"{LOG_PREFIX}{number}").unlink()
+            self._folder.remove(_log_name(number))
 
     def write(self, records: list[Record]) -> None:
         """Appends records and syncs them to disk; blocks.
@@ -162,10 +158,8 @@
     def _append(self, records: list[Record]) -> None:
         self._apply_records(records)
         data = b"".join(map(frame_record, records))
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self._fd, view) :]
-        os.fdatasync(self._fd)
+        self._folder.append(self._fd, data)
+        self._folder.sync(self._fd)
 
     def _apply_records(self, records: list[Record]) -> None:
         """Applies records to the state that a new file starts with."""
@@ -184,16 +178,14 @@
     def _start_new_log(self, records: list[Record]) -> None:
         """Writes the state after the records to a new file."""
         self._apply_records(records)
-        old = self._path
+        old_number = self._log_number
         self._log_number += 1
-        self._path = self._folder / f"{LOG_PREFIX}{self._log_number}"
-        self._replace_file(
-            self._path,
-            b"".join(map(frame_record, self._make_initial_records())),
-        )
-        os.close(self._fd)
-        self._fd = os.open(self._path, os.O_WRONLY | os.O_APPEND)
-        old.unlink()
+        name = _log_name(self._log_number)
+        data = b"".join(map(frame_record, self._make_initial_records()))
+        self._replace_file(name, data)
+        self._folder.close(self._fd)
+        self._fd = self._folder.open(name)
+        self._folder.remove(_log_name(old_number))
 
     def _make_initial_records(self) -> list[Record]:
         """Returns the records that a new file starts with."""
@@ -211,10 +203,14 @@
     def close(self) -> None:
         """Closes the log; later writes fail."""
         if self._fd >= 0:
-            os.close(self._fd)
+            self._folder.close(self._fd)
             self._fd = -1
 
 
+def _log_name(number: int) -> str:
+    return f"{LOG_PREFIX}{number}"
+
+
 def frame_record(record: Record) -> bytes:
     """Returns the bytes of a record: length, checksum and content."""
     content = _encoder.encode(record)
