Cut off an unsynced write that a loss of power left with a hole

With two of three folders refused the configuration is gone.

Cause: the store took an invalid record before a valid one as damage. A write of several records that was not yet synced may lose any of its pages, so that a whole record follows the hole.

Fix: each frame names the offset at which its write starts, under a checksum of its header. A write starts only after all earlier ones were synced, so invalid bytes are damage exactly if a frame of a write that starts after them follows; its header suffices, its content may be torn. The records at the start of a new file count as writes of their own, since the file gets its name after its sync: damage among them stays an error. Frames of earlier releases have no magic number, are read as before and may be followed by new ones; their rule stays as strict as it was.

--- a/packages/daemon/src/clayfield/daemon/store.py
+++ b/packages/daemon/src/clayfield/daemon/store.py
@@ -4,23 +4,17 @@
 and one file of records, `log-N`. A snapshot starts a new file, so that the
 time to recover does not grow with the number of changes.
 
-A record consists of its length (4 bytes), a checksum of its content (8 bytes)
-and the content. On opening, an incomplete record at the end, as left by a
-crash, is cut off. An invalid record that is followed by a valid one is an
-error, since it cannot come from an interrupted write.
+On opening, what is left of an interrupted write at the end is cut off. Damage
+to anything that had been synced is an error.
 """
 
-import struct
 import time
 
-import msgspec
-import xxhash
-
 from clayfield.base import ClayfieldError, ErrorKind
 from clayfield.base.events import Event, emit
 from clayfield.daemon.data_folder import DataFolder, OsDataFolder
+from clayfield.daemon.log_format import frame_record, read_records
 from clayfield.state import (
-    ANY_RECORD,
     Append,
     HardState,
     LogCreated,
@@ -30,15 +24,10 @@
     replay,
 )
 
-HEADER = struct.Struct("<IQ")
-MAX_RECORD_BYTES = 256 * 1024 * 1024
 IDENTITY_FILE = "made"
 LOG_PREFIX = "log-"
 TEMPORARY_SUFFIX = ".new"
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(ANY_RECORD)
-
 
 class Store:
     """The records of a replicated log in a data folder.
@@ -66,6 +55,7 @@
         self._folder = OsDataFolder(folder) if is_path else folder
         self._fd = -1
         self._log_number = 0
+        self._size = 0
         try:
             self._folder.make()
             self.disk_id = self._read_identity(disk_id)
@@ -119,6 +109,7 @@
         data = self._folder.read(name) if numbers else b""
         records, valid_bytes = read_records(data, path)
         self._fd = self._folder.open(name)
+        self._size = valid_bytes
         if valid_bytes < len(data):
             emit(
                 Event.STORE_REPAIRED,
@@ -157,9 +148,11 @@
 
     def _append(self, records: list[Record]) -> None:
         self._apply_records(records)
-        data = b"".join(map(frame_record, records))
+        frames = [frame_record(record, self._size) for record in records]
+        data = b"".join(frames)
         self._folder.append(self._fd, data)
         self._folder.sync(self._fd)
+        self._size += len(data)
 
     def _apply_records(self, records: list[Record]) -> None:
         """Applies records to the state that a new file starts with."""
@@ -181,12 +174,24 @@
         old_number = self._log_number
         self._log_number += 1
         name = _log_name(self._log_number)
-        data = b"".join(map(frame_record, self._make_initial_records()))
+        data = self._make_initial_content()
         self._replace_file(name, data)
+        self._size = len(data)
         self._folder.close(self._fd)
         self._fd = self._folder.open(name)
         self._folder.remove(_log_name(old_number))
 
+    def _make_initial_content(self) -> bytes:
+        """Returns the content that a new file starts with.
+
+        Each record counts as a write of its own: the file gets its name once
+        it is synced, so that invalid bytes between the records are damage.
+        """
+        content = bytearray()
+        for record in self._make_initial_records():
+            content += frame_record(record, len(content))
+        return bytes(content)
+
     def _make_initial_records(self) -> list[Record]:
         """Returns the records that a new file starts with."""
         log = self._written_state.log
@@ -209,71 +214,3 @@
 
 def _log_name(number: int) -> str:
     return f"{LOG_PREFIX}{number}"
-
-
-def frame_record(record: Record) -> bytes:
-    """Returns the bytes of a record: length, checksum and content."""
-    content = _encoder.encode(record)
-    checksum = xxhash.xxh3_64_intdigest(content)
-    return HEADER.pack(len(content), checksum) + content
-
-
-def read_records(data: bytes, path: str) -> tuple[list[Record], int]:
-    """Returns the records of a file and the number of bytes they take.
-
-    Bytes after that number are an incomplete record.
-
-    Args:
-        data: content of the file.
-        path: path of the file, for error messages.
-
-    Raises:
-        ClayfieldError: of kind STORE_DAMAGED, when an invalid record is
-            followed by a valid one.
-    """
-    records: list[Record] = []
-    offset = 0
-    while offset < len(data):
-        content = _read_content(data, offset)
-        if content is None:
-            if _has_valid_record(data, offset + 1):
-                raise ClayfieldError(
-                    ErrorKind.STORE_DAMAGED,
-                    f"{path}: invalid record at byte {offset}.",
-                )
-            break
-        records.append(_decode_record(content, path, offset))
-        offset += HEADER.size + len(content)
-    return records, offset
-
-
-def _decode_record(content: bytes, path: str, offset: int) -> Record:
-    try:
-        return _decoder.decode(content)
-    except msgspec.DecodeError as exc:
-        raise ClayfieldError(
-            ErrorKind.STORE_DAMAGED, f"{path}: record at byte {offset}: {exc}."
-        ) from exc
-
-
-def _read_content(data: bytes, offset: int) -> bytes | None:
-    """Returns the content of the record at an offset, None if invalid."""
-    start = offset + HEADER.size
-    if start > len(data):
-        return None
-    length, checksum = HEADER.unpack_from(data, offset)
-    end = start + length
-    if not 0 < length <= MAX_RECORD_BYTES or end > len(data):
-        return None
-    content = data[start:end]
-    if xxhash.xxh3_64_intdigest(content) != checksum:
-        return None
-    return content
-
-
-def _has_valid_record(data: bytes, offset: int) -> bool:
-    """Returns whether a valid record starts at or after an offset."""
-    return any(
-        _read_content(data, start) is not None
-        for start in range(offset, len(data) - HEADER.size)
-    )
