Sync what an opened data folder holds before it counts as stored

What callers would see: an acknowledged change comes back older or is gone. A control node is killed between the write and the sync of a change, reads it after its restart, reports it as stored and so completes a majority; then power is lost.

Cause: opening synced the log only if it cut something off, while the node takes all records that were read as stored. Likewise, a log was created next to a file `made` whose rename was not durable; after a loss of power the log without `made` was refused for good.

Fix: opening syncs the folder before it reads the names, and the log and the folder before it returns. Both hold whatever state a killed process left. Opening also removes files whose writing was interrupted, which would take room on a disk that is full.

--- a/packages/daemon/src/clayfield/daemon/store.py
+++ b/packages/daemon/src/clayfield/daemon/store.py
@@ -58,6 +58,9 @@
         self._size = 0
         try:
             self._folder.make()
+            self._remove_temporary_files()
+            # What a killed process renamed may not be durable yet.
+            self._folder.sync_names()
             self.disk_id = self._read_identity(disk_id)
             records = self._open_log()
         except OSError as exc:
@@ -67,6 +70,12 @@
         self.state = replay(records)
         self._written_state = replay(records)
 
+    def _remove_temporary_files(self) -> None:
+        """Removes files whose writing was interrupted."""
+        for name in self._folder.list_names():
+            if name.endswith(TEMPORARY_SUFFIX):
+                self._folder.remove(name)
+
     def _read_identity(self, disk_id: int | None) -> int:
         """Returns the identity of the folder; stores it in a new one."""
         if IDENTITY_FILE in self._folder.list_names():
@@ -117,7 +126,9 @@
                 bytes=len(data) - valid_bytes,
             )
             self._folder.truncate(self._fd, valid_bytes)
-            self._folder.sync(self._fd)
+        # The caller takes what was read as stored, but a process that was
+        # killed may have left it unsynced.
+        self._folder.sync(self._fd)
         self._folder.sync_names()
         self._delete_logs(numbers[:-1])
         return records
--- a/tests/test_store_power.py
+++ b/tests/test_store_power.py
@@ -135,3 +135,32 @@
         history.write([_append(2, 9000), _append(3, 9000)])
     history.folder.lose_power()
     history.open()
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_records_reported_after_a_kill_before_the_sync_outlive_power(seed):
+    history = _stored(seed)
+    history.folder.kill_after(1)
+    with pytest.raises(ProcessKilledError):
+        history.write([_append(2, 9000)])
+    history.folder.end_process()
+    history.open()
+    assert history.store.state.log.last_index == 2
+    history.folder.lose_power()
+    history.open()
+
+
+@pytest.mark.parametrize("operations", range(12))
+@pytest.mark.parametrize("seed", range(20))
+def test_first_opening_that_is_killed_twice_leaves_a_usable_folder(
+    seed, operations
+):
+    history = History(seed)
+    for limit in (operations, seed % 12):
+        history.folder.kill_after(limit)
+        try:
+            history.open()
+        except ProcessKilledError:
+            history.folder.end_process()
+    history.folder.lose_power()
+    history.open()
