Make a new data folder durable before the store uses it

What callers would see: after a loss of power a control node is new, with another identity, although it acknowledged changes before.

Cause: the folder was made without a sync of the folder that holds it. The files in it were synced, but not the folder's own name.

Fix: opening syncs the holder of the folder, also if the folder exists, as a killed process may have made it; missing folders above are made and synced one by one. A holder that cannot be synced is passed over.

The property test plays sequences of writes, kills, reopenings and losses of power at any operation: what was written or reported stays, the state is that of a prefix of what was written, the identity stays.

--- a/packages/daemon/src/clayfield/daemon/data_folder.py
+++ b/packages/daemon/src/clayfield/daemon/data_folder.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import contextlib
 import os
 import pathlib
 
@@ -21,7 +22,11 @@
 
     @abc.abstractmethod
     def make(self) -> None:
-        """Creates the folder unless it exists."""
+        """Creates the folder unless it exists; it may not be durable."""
+
+    @abc.abstractmethod
+    def sync_folder_name(self) -> None:
+        """Makes the folder itself durable in the folder that holds it."""
 
     @abc.abstractmethod
     def list_names(self) -> list[str]:
@@ -81,7 +86,12 @@
 
     def make(self) -> None:
         """See base class."""
-        self._path.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
+        _make_durably(self._path.parent)
+        self._path.mkdir(FOLDER_MODE, exist_ok=True)
+
+    def sync_folder_name(self) -> None:
+        """See base class."""
+        _sync_parent(self._path)
 
     def list_names(self) -> list[str]:
         """See base class."""
@@ -127,6 +137,22 @@
         _sync_folder(self._path)
 
 
+def _make_durably(path: pathlib.Path) -> None:
+    """Creates a folder and those that hold it, unless they exist."""
+    if path.is_dir():
+        return
+    _make_durably(path.parent)
+    path.mkdir(FOLDER_MODE, exist_ok=True)
+    _sync_parent(path)
+
+
+def _sync_parent(path: pathlib.Path) -> None:
+    # The folder may be a mount point below one that cannot be read or synced.
+    # A disk that fails also fails the syncs within the folder.
+    with contextlib.suppress(OSError):
+        _sync_folder(path.parent)
+
+
 def _sync_folder(path: pathlib.Path) -> None:
     fd = os.open(path, os.O_RDONLY)
     try:
--- a/packages/daemon/src/clayfield/daemon/store.py
+++ b/packages/daemon/src/clayfield/daemon/store.py
@@ -58,6 +58,7 @@
         self._size = 0
         try:
             self._folder.make()
+            self._folder.sync_folder_name()
             self._remove_temporary_files()
             # What a killed process renamed may not be durable yet.
             self._folder.sync_names()
--- a/packages/testbed/src/clayfield/testbed/disk.py
+++ b/packages/testbed/src/clayfield/testbed/disk.py
@@ -169,6 +169,11 @@
         self._begin()
         self._exists = True
 
+    def sync_folder_name(self) -> None:
+        """See base class."""
+        self._begin()
+        self._exists_durably = self._exists
+
     def list_names(self) -> list[str]:
         """See base class."""
         return list(self._names)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -215,3 +215,34 @@
         Store(str(tmp_path))
     assert info.value.kind is ErrorKind.STORE_DAMAGED
     assert path.read_bytes() == data
+
+
+@pytest.mark.parametrize("missing", [["a"], ["a", "b", "c"]])
+def test_each_new_folder_is_synced_in_the_folder_that_holds_it(
+    tmp_path, monkeypatch, missing
+):
+    synced = []
+
+    def record(fd):
+        synced.append(os.fstat(fd).st_ino)
+
+    monkeypatch.setattr(os, "fsync", record)
+    folder = tmp_path.joinpath(*missing)
+    Store(str(folder))
+    holders = [path.stat().st_ino for path in folder.parents[: len(missing)]]
+    assert set(holders) <= set(synced)
+
+
+def test_folder_below_one_that_cannot_be_synced_is_opened(
+    tmp_path, monkeypatch
+):
+    parent = tmp_path.stat().st_ino
+    sync = os.fsync
+
+    def fail_for_parent(fd):
+        if os.fstat(fd).st_ino == parent:
+            raise PermissionError(13, "Permission denied")
+        sync(fd)
+
+    monkeypatch.setattr(os, "fsync", fail_for_parent)
+    assert Store(str(tmp_path / "data")).state.log.last_index == 0
--- a/tests/test_store_power.py
+++ b/tests/test_store_power.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from clayfield.daemon.store import Store
@@ -113,6 +114,35 @@
 )
 
 
+@settings(
+    max_examples=400,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    seed=st.integers(0, 2**32),
+    exists=st.booleans(),
+    steps=st.lists(STEP, min_size=1, max_size=10),
+)
+def test_stored_records_survive_kills_and_losses_of_power(seed, exists, steps):
+    history = History(seed, exists)
+    for kind, operations, is_power_lost in steps:
+        history.folder.kill_after(operations)
+        try:
+            if history.store is None:
+                history.open()
+            history.write(history.make_records(kind))
+        except ProcessKilledError:
+            history.store = None
+        if operations is not None:
+            history.store = None
+            _end(history.folder, is_power_lost)
+    _end(history.folder, is_power_lost=True)
+    history.open()
+
+
 def _end(folder, is_power_lost):
     if is_power_lost:
         folder.lose_power()
@@ -150,6 +180,13 @@
     history.open()
 
 
+@pytest.mark.parametrize("seed", range(100))
+def test_folder_that_was_just_made_outlives_power(seed):
+    history = _stored(seed, exists=False)
+    history.folder.lose_power()
+    history.open()
+
+
 @pytest.mark.parametrize("operations", range(12))
 @pytest.mark.parametrize("seed", range(20))
 def test_first_opening_that_is_killed_twice_leaves_a_usable_folder(
