--- a/packages/node/src/clayfield/node/native/operators.py
+++ b/packages/node/src/clayfield/node/native/operators.py
@@ -21,8 +21,9 @@
 )
 from clayfield.wire.checks import (
     DECODE_ERRORS,
+    find_document_error,
     find_heartbeat_error,
-    find_table_error,
+    find_table_errors,
 )
 from clayfield.wire.jobs import (
     Limits,
@@ -138,34 +139,13 @@
             ErrorKind.NOT_FOUND, f"{request.method} is not served."
         )
     routing = _decode(request.body, _routing_decoder)
-    _validate(routing)
-    return WriteCall(routing.version, request.body)
-
-
-def _validate(routing: _Routing) -> None:
-    """Validates a configuration and reports all problems at once.
-
-    Raises:
-        ClayfieldError: of kind BAD_CONFIG.
-    """
-    problems: list[str] = []
-    error = find_table_error(_to_table(routing))
+    error = find_document_error(request.body)
     if error:
-        problems.append(error)
-    if routing.version < 1:
-        problems.append(f"version {routing.version} is not above 0.")
-    services = {service.name for service in routing.services}
-    queue_ids: set[tuple[str, str]] = set()
-    for queue in routing.queues:
-        if queue.service not in services:
-            problems.append(f"{queue.name}: no service {queue.service!r}.")
-        if queue.timeout_ms <= 0:
-            problems.append(f"{queue.name}: timeout_ms is not above 0.")
-        if (queue.host, queue.name) in queue_ids:
-            problems.append(f"{queue.name}: stands twice.")
-        queue_ids.add((queue.host, queue.name))
-    if problems:
-        raise ClayfieldError(ErrorKind.BAD_CONFIG, " ".join(problems))
+        raise ClayfieldError(ErrorKind.BAD_JSON, error)
+    errors = find_table_errors(_to_table(routing))
+    if errors:
+        raise ClayfieldError(ErrorKind.BAD_CONFIG, " ".join(errors))
+    return WriteCall(routing.version, request.body)
 
 
 def _read_worker_call(request: HttpRequest, name: str) -> OperatorCall:
--- a/packages/wire/src/clayfield/wire/checks.py
+++ b/packages/wire/src/clayfield/wire/checks.py
@@ -1,15 +1,27 @@
 """Checks of what workers, callers and operators send, before a node uses it.
 
 What passes can be stored, sent to other nodes and used in arithmetic. Each
-check returns the first error as a sentence for the sender, "" for none.
+check returns the first error as a sentence for the sender, "" for none; that of
+a configuration returns all.
 """
 
+import collections
 import ipaddress
+import json
+import math
 import re
 
 import msgspec
 
-from clayfield.wire.jobs import Job, RoutingTable, Schedule, Step, WorkerInfo
+from clayfield.wire.jobs import (
+    Job,
+    Limits,
+    Route,
+    RoutingTable,
+    Schedule,
+    Step,
+    WorkerInfo,
+)
 
 # What a decoder raises for data that can't be read. The last is raised for
 # deeply nested data.
@@ -117,41 +129,123 @@
     return f"schedule.{error}" if error else ""
 
 
-def find_table_error(table: RoutingTable) -> str:
-    """Returns the first number in a configuration that can't be used."""
+def find_table_errors(table: RoutingTable) -> list[str]:
+    """Returns each reason why a configuration can't be used.
+
+    The names of queues and services identify them: the workers' tasks, the
+    counts and the estimates of a queue are kept by its name.
+    """
+    errors = [_find_number_error({"version": table.version})]
+    if table.version < 1:
+        errors.append(f"version {table.version} is not above 0.")
+    services = [service.name for service in table.services]
+    errors += _find_repeated("service", services)
+    errors += _find_repeated("queue", [route.name for route in table.routes])
+    places = [f"{route.host} {route.prefix}" for route in table.routes]
+    errors += _find_repeated("host and path", places)
+    known_services = frozenset(services)
     for route in table.routes:
-        error = _find_number_error(
-            {
-                "timeout_ms": route.timeout_ms,
-                "target_ms": route.target_ms,
-                "priority": route.priority,
-                "max_attempts": route.max_attempts,
-                "stretch": route.stretch,
-            }
-        )
-        if error:
-            return f"{route.name}: {error}"
+        errors += _find_route_errors(route, known_services)
     for service in table.services:
         numbers = {"max_connections": service.max_connections}
-        error = _find_number_error(numbers)
-        if error:
-            return f"{service.name}: {error}"
-    limits = table.limits
-    return _find_number_error(
-        {
-            "version": table.version,
-            "header_bytes": limits.header_bytes,
-            "body_bytes": limits.body_bytes,
-            "header_ms": limits.header_ms,
-            "idle_ms": limits.idle_ms,
-        }
-    )
+        errors.append(_find_number_error(numbers, f"{service.name}: "))
+    errors += _find_limit_errors(table.limits)
+    return [error for error in errors if error]
+
+
+def _find_repeated(kind: str, names: list[str]) -> list[str]:
+    """Returns an error for each name that stands more than once."""
+    counts = collections.Counter(names)
+    return [
+        f"{kind} {name!r} stands twice."
+        for name, count in counts.items()
+        if count > 1
+    ]
+
+
+def _find_route_errors(route: Route, services: frozenset[str]) -> list[str]:
+    numbers = {
+        "timeout_ms": route.timeout_ms,
+        "target_ms": route.target_ms,
+        "priority": route.priority,
+        "max_attempts": route.max_attempts,
+        "stretch": route.stretch,
+    }
+    where = f"{route.name}: "
+    errors = [
+        _find_number_error(numbers, where),
+        _find_zero({"timeout_ms": route.timeout_ms}, where),
+        _find_zero({"max_attempts": route.max_attempts}, where),
+    ]
+    if route.service not in services:
+        errors.append(f"{where}no service {route.service!r}.")
+    return errors
+
+
+def _find_limit_errors(limits: Limits) -> list[str]:
+    """Returns the limits that no request could keep."""
+    numbers = {
+        "header_bytes": limits.header_bytes,
+        "body_bytes": limits.body_bytes,
+        "header_ms": limits.header_ms,
+        "idle_ms": limits.idle_ms,
+    }
+    return [_find_number_error(numbers), _find_zero(numbers)]
+
+
+def _find_zero(numbers: dict[str, float], where: str = "") -> str:
+    """Returns an error for the first number that is 0, "" for none."""
+    for name, number in numbers.items():
+        if number == 0:
+            return f"{where}{name} is not above 0."
+    return ""
+
+
+def find_document_error(document: bytes) -> str:
+    """Returns why a document is not JSON that every reader reads alike.
+
+    `msgspec` uses the last of equal keys and skips what no type names; this
+    reads the whole document.
+    """
+    try:
+        json.loads(
+            document.decode(),
+            object_pairs_hook=_check_keys,
+            parse_constant=_reject_constant,
+            parse_float=_check_float,
+        )
+    except (ValueError, RecursionError) as exc:
+        return f"{exc}."
+    return ""
+
+
+def _check_keys(pairs: list[tuple[str, object]]) -> None:
+    """Raises ValueError if a key of an object stands twice."""
+    keys = [key for key, _ in pairs]
+    if len(set(keys)) < len(keys):
+        raise ValueError(_find_repeated("key", keys)[0].removesuffix("."))
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a number of JSON")
+
+
+def _check_float(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"{text[:60]} is out of range")
+    return number
+
 
+def _find_number_error(numbers: dict[str, float], where: str = "") -> str:
+    """Returns the first number that is not between 0 and `MAX_NUMBER`.
 
-def _find_number_error(numbers: dict[str, float]) -> str:
-    """Returns the first number that is not between 0 and `MAX_NUMBER`."""
+    Args:
+        numbers: the numbers by name.
+        where: start of the sentence, which says whose numbers they are.
+    """
     for name, number in numbers.items():
         # NaN fails the comparison too.
         if not 0 <= number <= MAX_NUMBER:
-            return f"{name} is not between 0 and 2^53."
+            return f"{where}{name} is not between 0 and 2^53."
     return ""
