Find a route by its host in any spelling of the name

A caller whose Host header had another case or the dot of the root domain got 404 for a route that the configuration has, and so did every caller of a route that was configured in upper case, with a dot or with a port. Two routes at one host and prefix were taken if the spellings differed.

Cause: hosts were compared as texts; only the port of the header was dropped. Host names are case-insensitive (RFC 9110, 4.2.3). normalize_host gives equal names one form, for the index of routes and for the check of the table.

--- a/packages/node/src/clayfield/node/native/callers.py
+++ b/packages/node/src/clayfield/node/native/callers.py
@@ -106,7 +106,7 @@
             return _problem(ErrorKind.NOT_READY, "", FIRST_RETRY_MS)
         path = request.path.partition("?")[0]
         matched = _PATH.fullmatch(path)
-        host = request.headers.get("host", "").partition(":")[0]
+        host = request.headers.get("host", "")
         route = routes.find(host, path) or routes.find("", path)
         if matched is None or route is None:
             return _problem(ErrorKind.NOT_FOUND, path)
--- a/packages/pool/src/clayfield/pool/routing.py
+++ b/packages/pool/src/clayfield/pool/routing.py
@@ -1,6 +1,6 @@
 """Finds the route of a request, which determines its queue."""
 
-from clayfield.wire.jobs import Limits, Route, RoutingTable
+from clayfield.wire.jobs import Limits, Route, RoutingTable, normalize_host
 
 
 class Routes:
@@ -26,7 +26,8 @@
         self.services = frozenset(service.name for service in services)
         self._by_host: dict[str, list[Route]] = {}
         for route in table.routes if table else ():
-            self._by_host.setdefault(route.host, []).append(route)
+            host = normalize_host(route.host)
+            self._by_host.setdefault(host, []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
@@ -34,10 +35,10 @@
         """Returns the matching route with the longest prefix, or None.
 
         Args:
-            host: host name of the request.
+            host: value of the request's Host header.
             path: path of the request.
         """
-        for route in self._by_host.get(host, ()):
+        for route in self._by_host.get(normalize_host(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/packages/wire/src/clayfield/wire/checks.py
+++ b/packages/wire/src/clayfield/wire/checks.py
@@ -21,6 +21,7 @@
     Schedule,
     Step,
     WorkerInfo,
+    normalize_host,
 )
 
 # What a decoder raises for data that can't be read. The last is raised for
@@ -141,7 +142,9 @@
     services = [service.name for service in table.services]
     errors += _find_repeated("service", services)
     errors += _find_repeated("queue", [route.name for route in table.routes])
-    places = [f"{route.host} {route.prefix}" for route in table.routes]
+    places = [
+        f"{normalize_host(route.host)} {route.prefix}" for route in table.routes
+    ]
     errors += _find_repeated("host and path", places)
     known_services = frozenset(services)
     for route in table.routes:
--- a/packages/wire/src/clayfield/wire/jobs.py
+++ b/packages/wire/src/clayfield/wire/jobs.py
@@ -245,6 +245,21 @@
         )
 
 
+def normalize_host(text: str) -> str:
+    """Returns the form of a host name in which equal hosts are equal texts.
+
+    Host names are case-insensitive; a port and the dot of the root domain do
+    not belong to the name.
+
+    Args:
+        text: a host name, or the value of a Host header.
+    """
+    name, colon, port = text.rpartition(":")
+    has_port = colon and (port.isdecimal() or not port)
+    host = name if has_port else text
+    return host.removesuffix(".").lower()
+
+
 class Route(msgspec.Struct, frozen=True, array_like=True):
     """A queue: the requests that belong to it and the settings of its jobs.
 
