Serve the count of a native queue at the path that the page names

GET /v1/queues/QUEUE, as docs/api.md has it, was answered with 404 although the queue exists; only the path with a slash at its end was served.

Cause: the prefix of a native queue ends with a slash, and the path was compared with it as it came. The pattern of the path already allows both.

--- a/packages/node/src/clayfield/node/native/callers.py
+++ b/packages/node/src/clayfield/node/native/callers.py
@@ -107,7 +107,9 @@
         path = request.path.partition("?")[0]
         matched = _PATH.fullmatch(path)
         host = request.headers.get("host", "")
-        route = routes.find(host, path) or routes.find("", path)
+        # The prefix of a queue ends with a slash, its own path may lack it.
+        full_path = f"{path.removesuffix('/')}/"
+        route = routes.find(host, full_path) or routes.find("", full_path)
         if matched is None or route is None:
             return _problem(ErrorKind.NOT_FOUND, path)
         key = matched.group("key")
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -7,7 +7,7 @@
 from clayfield_platform.operators import PlatformOperators
 
 from clayfield.node.httpserver import HttpRequest
-from clayfield.node.interfaces import HttpReply, WriteCall
+from clayfield.node.interfaces import CountCall, HttpReply, WriteCall
 from clayfield.node.native import NativeCallers, NativeOperators
 from clayfield.pool import Routes
 
@@ -94,3 +94,13 @@
     assert reply.status == 400
     document = _make_platform_document(("a.example", host))
     assert isinstance(_write_to_platform(document), WriteCall)
+
+
+@pytest.mark.parametrize("path", ["/v1/queues/r1", "/v1/queues/r1/"])
+def test_native_queue_without_trailing_slash_is_not_unknown(path):
+    document = _make_native_document(("", "b.example"))
+    routes = Routes(NativeOperators().read_table(document))
+    request = HttpRequest(None, "GET", path, {"host": "x"}, b"")
+    call = NativeCallers().read_call(request, routes)
+    assert isinstance(call, CountCall)
+    assert call.queue == "r1"
