Answer a client that waits for 100 Continue with its body

A client that sends Expect: 100-continue waits with the body until the server asks for it, or until it gives up waiting (one second, for many). A node did not reply to the head, so such a write of a configuration took at least that long, and never came through from a client that waits for good.

Cause: the server had no handling of the expectation. It now sends the interim response (RFC 9110, 10.1.1) unless a part of the body is already there, in the order of the responses, and 413 at once if the announced length is over the limit.

--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -20,6 +20,7 @@
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 64
 # Least time between two log lines about the same exception.
 LOG_INTERVAL_MS = 1000.0
@@ -148,6 +149,7 @@
         self._body = bytearray()
         self._head_bytes = 0
         self._is_receiving = False
+        self._expects_continue = False
         self._is_closing = False
         self._deadline: interfaces.IDelayedCall | None = None
         self._last_activity_s = 0.0
@@ -187,6 +189,7 @@
             self._reject(http.HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserError:
             self._reject(http.HTTPStatus.BAD_REQUEST)
+        self._continue_body()
 
     def check_timeouts(self, now_s: float) -> None:
         """Closes the connection if it is idle or receives for too long."""
@@ -207,6 +210,7 @@
     def on_message_begin(self) -> None:
         """Handles the start of a request."""
         self._is_receiving = True
+        self._expects_continue = False
         self._headers = {}
         self._path.clear()
         self._body.clear()
@@ -229,8 +233,31 @@
         if self._head_bytes > self._server.limits().header_bytes:
             self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def on_headers_complete(self) -> None:
+        """Records whether the client waits for an interim response."""
+        expectation = self._headers.get("expect", "").lower()
+        self._expects_continue = (
+            expectation == "100-continue"
+            and self._parser.get_http_version() == "1.1"
+        )
+
+    def _continue_body(self) -> None:
+        """Asks a client that waits with the body to send it, or rejects it.
+
+        Interim responses keep to the order of the responses.
+        """
+        if not self._expects_continue or self._is_closing or self._current:
+            return
+        self._expects_continue = False
+        length = int(self._headers.get("content-length", "0"))
+        if length > self._server.limits().body_bytes:
+            self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        else:
+            self.transport.write(CONTINUE)
+
     def on_body(self, body: bytes) -> None:
         """Handles a part of the body."""
+        self._expects_continue = False
         if self._is_closing:
             return
         self._body += body
@@ -242,6 +269,7 @@
         if self._is_closing:
             return
         self._is_receiving = False
+        self._expects_continue = False
         request = HttpRequest(
             self,
             self._parser.get_method().decode("latin-1"),
@@ -279,6 +307,8 @@
             self.close()
         elif self._queue:
             self._server.reactor.callLater(0, self._serve_next)
+        else:
+            self._continue_body()
 
     def _serve_next(self) -> None:
         if self._queue and self._current is None:
