Limit the time of a request that arrives byte by byte

A client that sent one byte a second kept its connection, and what had arrived of its request, for as long as it liked: the limit on the time of a request began anew with each byte.

Before: both cases of test_request_that_trickles_is_not_received_for_ever failed, the request was handled once its last byte had come.

--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -22,6 +22,8 @@
 TEXT_TYPE = "text/plain; charset=utf-8"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 64
+# Least mean rate at which a body may arrive.
+MIN_BODY_BYTES_PER_MS = 1.0
 # Least time between two log lines about the same exception.
 LOG_INTERVAL_MS = 1000.0
 
@@ -32,7 +34,8 @@
     Attributes:
         header_bytes: maximum size of the path and the headers.
         body_bytes: maximum size of the body.
-        header_ms: maximum time without data while a request arrives.
+        header_ms: maximum time for the head of a request to arrive, and
+            without data while its body arrives.
         idle_ms: maximum idle time of a connection between requests.
     """
 
@@ -153,6 +156,7 @@
         self._is_closing = False
         self._deadline: interfaces.IDelayedCall | None = None
         self._last_activity_s = 0.0
+        self._begun_s = 0.0
 
     @property
     def is_idle(self) -> bool:
@@ -195,8 +199,12 @@
         """Closes the connection if it is idle or receives for too long."""
         elapsed_ms = (now_s - self._last_activity_s) * 1000.0
         limits = self._server.limits()
-        if self._is_receiving and elapsed_ms > limits.header_ms:
-            self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+        if self._is_receiving:
+            arriving_ms = (now_s - self._begun_s) * 1000.0
+            body_ms = len(self._body) / MIN_BODY_BYTES_PER_MS
+            is_slow = arriving_ms > limits.header_ms + body_ms
+            if is_slow or elapsed_ms > limits.header_ms:
+                self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif self.is_idle and elapsed_ms > limits.idle_ms:
             self.close()
 
@@ -210,6 +218,7 @@
     def on_message_begin(self) -> None:
         """Handles the start of a request."""
         self._is_receiving = True
+        self._begun_s = self._server.reactor.seconds()
         self._expects_continue = False
         self._headers = {}
         self._path.clear()
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -221,3 +221,17 @@
         client.send(part)
     assert client.requests == [("PUT", "/c", part * 20)]
     assert client.statuses == [200]
+
+
+@pytest.mark.parametrize(
+    "data", [_head(b"X: " + b"x" * 200), _head(_length(200)) + b"x" * 200]
+)
+def test_request_that_trickles_is_not_received_for_ever(data):
+    client = _Client()
+    for number in range(len(data)):
+        if client.is_closed:
+            break
+        client.send(data[number : number + 1])
+        client.wait(1.0)
+    assert client.requests == []
+    assert client.statuses == [408]
