Send no body in the response to a HEAD request

Each node sent the body of its error reply after the head, which a client reads as the start of the next response on that connection.

Before: test_answer_to_head_has_no_body failed, the output ended with the body. After: it passes.

--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -311,6 +311,9 @@
         if self._server.is_closing:
             head, separator, body = response.partition(b"\r\n\r\n")
             response = head + b"\r\nConnection: close" + separator + body
+        if request.method == "HEAD":
+            head, separator, _ = response.partition(b"\r\n\r\n")
+            response = head + separator
         self.transport.write(response)
         if self._server.is_closing:
             self.close()
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -235,3 +235,11 @@
         client.wait(1.0)
     assert client.requests == []
     assert client.statuses == [408]
+
+
+def test_answer_to_head_has_no_body():
+    client = _Client()
+    client.send(_head(_length(len(BODY)), method=b"HEAD") + BODY)
+    head, _, body = client.output.partition(b"\r\n\r\n")
+    assert b"Content-Length: 13" in head
+    assert body == b""
