Log a pushed configuration that an entry node can't read as rejected, once

An entry node that could not read the configuration which its control nodes had committed logged INTERNAL and a traceback about once a second, with a CONFIG_RECEIVED before each, and decoded the document anew at each resend. This may happen while nodes run different versions of the program.

Cause: the decoder's exception went to the guard around all messages. The entry node now emits CONFIG_REJECTED with the version and the reason, keeps the active configuration, and skips further copies of that version. Since its status still names the older version, control nodes keep logging CONFIG_RESENT.

--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -45,6 +45,7 @@
     ThrottleRun,
 )
 from clayfield.state.membership import box_of, node_name
+from clayfield.wire.checks import DECODE_ERRORS
 from clayfield.wire.cluster import (
     ConfigPush,
     ControlNodes,
@@ -147,6 +148,8 @@
         self._metrics = EntryMetrics(self._entry, self._commands, self._streams)
         self._metrics_server = MetricsServer(reactor, self._metrics)
         self._last_request_id = 0
+        # The last version that could not be read, which is sent repeatedly.
+        self._rejected_version = 0
         self._ticks = 0
         self._stop_started_ms: float | None = None
         self._was_ready = False
@@ -355,8 +358,10 @@
                 self._entry.on_message(node, message)
 
     def _on_config(self, node: str, push: ConfigPush) -> None:
+        """Activates a newer configuration; keeps the active one otherwise."""
         self._metrics.on_config_received()
-        if not self._entry.needs_config(push):
+        is_rejected = push.version == self._rejected_version
+        if is_rejected or not self._entry.needs_config(push):
             return
         emit(
             Event.CONFIG_RECEIVED,
@@ -364,7 +369,14 @@
             peer=node,
             bytes=len(push.document),
         )
-        table = self._operators.read_table(push.document)
+        try:
+            table = self._operators.read_table(push.document)
+        except DECODE_ERRORS as exc:
+            # Control nodes of another version may accept other documents.
+            self._rejected_version = push.version
+            error = f"version {push.version} can't be read: {exc}."
+            emit(Event.CONFIG_REJECTED, error=error)
+            return
         if self._entry.on_config(table):
             emit(Event.CONFIG_IN_FORCE, version=table.version)
 
