--- a/packages/node/src/clayfield/node/native/callers.py
+++ b/packages/node/src/clayfield/node/native/callers.py
@@ -106,8 +106,10 @@
             return _problem(ErrorKind.NOT_READY, "", FIRST_RETRY_MS)
         path = request.path.partition("?")[0]
         matched = _PATH.fullmatch(path)
-        host = request.headers.get("host", "").partition(":")[0]
-        route = routes.find(host, path) or routes.find("", path)
+        host = request.headers.get("host", "")
+        # The prefix of a queue ends with a slash, its own path may lack it.
+        full_path = f"{path.removesuffix('/')}/"
+        route = routes.find(host, full_path) or routes.find("", full_path)
         if matched is None or route is None:
             return _problem(ErrorKind.NOT_FOUND, path)
         key = matched.group("key")
