Keep a stream open while a large frame arrives

The receiver of a frame that takes longer than the peer timeout aborted the connection, and again after each reconnect: a configuration of 1 MB never arrived over a link of under 0.9 MB/s, and all messages behind it were lost each time. The time of the last data was set by complete frames only.

Any received byte now counts. The keepalive timer runs on the reactor that the streams are given, so that tests advance it.

Test: test_frame_that_takes_longer_than_the_peer_timeout_arrives failed before at 100, 500 and 800 kB/s ("assert not True", the connection was aborted) and passes.

--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -82,9 +82,13 @@
         self.sendString(encode_node_greeting(self._streams.greeting))
         self._streams.on_connected(self)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handles received bytes, which may end in the middle of a frame."""
+        self.last_received_s = self._streams.reactor.seconds()
+        super().dataReceived(data)
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handles a frame; an invalid one aborts the connection."""
-        self.last_received_s = self._streams.reactor.seconds()
         if not string:
             return
         try:
@@ -234,6 +238,7 @@
         self._dropped = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
         self._port: interfaces.IListeningPort | None = None
         self._keepalive_loop = task.LoopingCall(self._keep_alive)
+        self._keepalive_loop.clock = reactor
 
     def start(self) -> None:
         """Listens at this node's address and starts the keepalive timer.
