Send again what was lost with a stream beside an open one

A peer that notices the loss of a stream first opens a new one before this node sees the old one end. The listener then heard of neither, since the node always had a stream, and all that was written to the old one was lost: a job sent to the holder was not sent again until its caller gave up, a control node's list of workers and nodes not at all.

The listener is told of the loss of a stream while another stays open. Entry nodes treat it like a connection that ended and came back; control nodes send their current state again.

--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -211,6 +211,12 @@
         addresses = (*self.addresses, box_of(self.node))
         self._send(node, ControlNodes(tuple(sorted(addresses))))
 
+    def on_stream_lost(self, node: str) -> None:
+        """Handles the loss of a stream to a node while another stays open."""
+        if self._holder_selector.status_of(node):
+            self._send_current_state(node)
+        self._send_addresses(node)
+
     def on_disconnected(self, node: str) -> None:
         """Handles the end of the connection of a node."""
         self._holder_selector.on_disconnected(node)
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -269,6 +269,11 @@
         self._control.on_connected(greeting)
         self.schedule_actions()
 
+    def on_stream_lost(self, greeting: NodeGreeting) -> None:
+        """Handles the loss of a stream to a node while another stays open."""
+        self._control.on_stream_lost(greeting.node)
+        self.schedule_actions()
+
     def on_disconnected(self, node: str) -> None:
         """Handles the loss of the last stream to a node."""
         self._control.on_disconnected(node)
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -329,6 +329,12 @@
         self._entry.on_connected(greeting)
         self.schedule_actions()
 
+    def on_stream_lost(self, greeting: NodeGreeting) -> None:
+        """Handles the loss of a stream to a node while another stays open."""
+        self._entry.on_disconnected(greeting.node)
+        self._entry.on_connected(greeting)
+        self.schedule_actions()
+
     def on_disconnected(self, node: str) -> None:
         """Handles the loss of the last stream to a node."""
         self._entry.on_disconnected(node)
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -51,6 +51,13 @@
     def on_disconnected(self, node: str) -> None:
         """Handles the loss of the last stream to a node."""
 
+    @abc.abstractmethod
+    def on_stream_lost(self, greeting: NodeGreeting) -> None:
+        """Handles the loss of a stream to a node while another stays open.
+
+        Messages sent on the lost one may not have arrived.
+        """
+
     @abc.abstractmethod
     def on_messages(self, node: str, messages: list[Message]) -> None:
         """Handles messages from a node."""
@@ -234,7 +241,7 @@
         self._connectors: dict[str, _Connector] = {}
         self._open_streams: set[_Stream] = set()
         self._by_node: dict[str, list[_Stream]] = {}
-        self._roles: dict[str, str] = {}
+        self._greetings: dict[str, NodeGreeting] = {}
         self._dropped = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
         self._port: interfaces.IListeningPort | None = None
         self._keepalive_loop = task.LoopingCall(self._keep_alive)
@@ -283,7 +290,7 @@
     def broadcast(self, role: str, message: Message) -> None:
         """Sends a message to every connected node of a role."""
         for node, streams in self._by_node.items():
-            if self._roles[node] == role:
+            if self._greetings[node].role == role:
                 streams[-1].send(message)
 
     def waiting_bytes(self, node: str | None = None) -> int:
@@ -322,7 +329,7 @@
         """Registers a connection under the node that greeted on it."""
         streams = self._by_node.setdefault(greeting.node, [])
         streams.append(stream)
-        self._roles[greeting.node] = greeting.role
+        self._greetings[greeting.node] = greeting
         if len(streams) == 1:
             emit(Event.PEER_CONNECTED, peer=greeting.node)
             self.listener.on_connected(greeting)
@@ -337,9 +344,11 @@
         if stream not in streams:
             return
         streams.remove(stream)
-        if not streams:
+        if streams:
+            self.listener.on_stream_lost(self._greetings[stream.node])
+        else:
             del self._by_node[stream.node]
-            del self._roles[stream.node]
+            del self._greetings[stream.node]
             emit(
                 Event.PEER_LOST,
                 peer=stream.node,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,15 +4,24 @@
 """
 
 import pytest
+from twisted.internet import error
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python import failure
 
+from clayfield.node.entry_process import EntryProcess
+from clayfield.node.native import NativeCallers, NativeOperators, NativeWorkers
+from clayfield.node.settings import NodeSettings
 from clayfield.node.streams import PEER_TIMEOUT_S, StreamListener, Streams
+from clayfield.pool import SendToNode
 from clayfield.wire.cluster import (
     ConfigPush,
+    Grant,
     NodeGreeting,
+    SubmitJob,
     encode_batch,
     encode_node_greeting,
 )
+from clayfield.wire.jobs import Job
 
 PEER = NodeGreeting("c", "127.0.0.1:2/1", "entry", "h")
 STEP_S = 0.1
@@ -44,6 +53,9 @@
     def on_connected(self, greeting):
         self.events.append("connected")
 
+    def on_stream_lost(self, greeting):
+        self.events.append("stream lost")
+
     def on_disconnected(self, node):
         self.events.append("disconnected")
 
@@ -74,6 +86,10 @@
         self.reactor.advance(0)
 
 
+def _lose(stream):
+    stream.connectionLost(failure.Failure(error.ConnectionLost()))
+
+
 def _frame(data):
     return len(data).to_bytes(4, "big") + data
 
@@ -100,3 +116,42 @@
     for _ in range(15):
         node.reactor.advance(STEP_S)
     assert stream.transport.is_aborted
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 1, 0), (1, 0, 2)])
+def test_loss_of_a_stream_beside_an_open_one_is_reported(order):
+    # What was sent on the lost one would be missing without notice.
+    node = _Node()
+    streams = [node.accept() for _ in order]
+    for position in order:
+        _lose(streams[position])
+    assert node.listener.events == [
+        "connected",
+        "stream lost",
+        "stream lost",
+        "disconnected",
+    ]
+
+
+def test_job_sent_on_a_lost_stream_is_sent_again_on_an_open_one():
+    cfg = NodeSettings("entry-1", "h", ("127.0.0.1", 1))
+    process = EntryProcess(
+        cfg, NativeCallers(), NativeOperators(), NativeWorkers(), lambda: cfg
+    )
+    process.on_connected(PEER)
+    process.on_messages("127.0.0.1:3/0", [Grant(3, PEER.node, {}, 3)])
+    job = Job("job", "queue", "service", "", (), 0, 3, 1.6, 60.0, 5000.0)
+    process._entry.submit(job, 1)
+    assert _submitted(process) == ["job"]
+    process.on_stream_lost(PEER)
+    assert _submitted(process) == ["job"]
+
+
+def _submitted(process):
+    """Returns the keys of the jobs that a process sends to the holder."""
+    sent = [
+        action.message
+        for action in process._entry.take_actions()
+        if isinstance(action, SendToNode)
+    ]
+    return [m.job.key for m in sent if isinstance(m, SubmitJob)]
