Send an entry node one copy of the configuration at a time

Each control node sent the whole document at every change, and again every 200 ms until a status reported it in force, although a stream delivers it or ends. On a link that was behind, each copy put the next version further back: with three control nodes and ten versions of 1 MB at 300 ms over 4 MB/s, the newest was not there 2 s after its acknowledgement (version 5 of 10 was), and nothing bounded what waited. A document that an entry node could not use was sent for ever.

Entry nodes report the version that each control node has delivered, at once and with each status. A control node sends a version when its former copy has arrived or its stream has ended; versions superseded meanwhile are skipped. Often the copy of one control node is in force before the others have applied the change, and they send none. To entry nodes of an earlier release, which report no receipts, the version in force counts as received. CONFIG_RESENT is logged only for a version that was sent to the node before.

--- a/packages/cluster/src/clayfield/cluster/__init__.py
+++ b/packages/cluster/src/clayfield/cluster/__init__.py
@@ -9,6 +9,7 @@
     Broadcast,
     Persist,
     Send,
+    SendConfig,
     WriteFinished,
     WriteOutcome,
 )
@@ -23,6 +24,7 @@
     "ControlState",
     "Persist",
     "Send",
+    "SendConfig",
     "VoterPolicy",
     "WriteFinished",
     "WriteOutcome",
--- a/packages/cluster/src/clayfield/cluster/actions.py
+++ b/packages/cluster/src/clayfield/cluster/actions.py
@@ -3,6 +3,7 @@
 import enum
 
 from clayfield.state import Record
+from clayfield.wire.cluster import ConfigPush
 from clayfield.wire.messages import GroupMessage, Message
 
 
@@ -33,6 +34,20 @@
         self.message = message
 
 
+class SendConfig(Send):
+    """Send the configuration to an entry node.
+
+    Attributes:
+        is_repeated: whether the node was sent this version before.
+    """
+
+    __slots__ = ("is_repeated",)
+
+    def __init__(self, node: str, push: ConfigPush, is_repeated: bool):
+        super().__init__(node, push)
+        self.is_repeated = is_repeated
+
+
 class Broadcast:
     """Send a message to all connected entry nodes.
 
--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -14,9 +14,11 @@
     Broadcast,
     Persist,
     Send,
+    SendConfig,
     WriteFinished,
     WriteOutcome,
 )
+from clayfield.cluster.config_pushes import ConfigPushes
 from clayfield.cluster.control_state import (
     ControlState,
     SetConfig,
@@ -59,7 +61,7 @@
 GROUP = "control"
 ENTRY_ROLE = "entry"
 CONTROL_ROLE = "control"
-# Time between checks whether entry nodes lack the configuration or grant.
+# Time between checks whether entry nodes lack the grant.
 RESEND_INTERVAL_MS = 200.0
 # Time after which an uncommitted write is answered with an unknown outcome.
 WRITE_TIMEOUT_MS = 3000.0
@@ -141,6 +143,7 @@
         )
         self.workers = WorkerDirectory(clock, heartbeat_ms)
         self._holder_selector = HolderSelector(clock)
+        self._config_pushes = ConfigPushes()
         self._job_store_leader = JobStoreLeader(
             clock, self.consensus, self.state, keep_ended_ms
         )
@@ -194,6 +197,7 @@
         """Handles a new connection of a node."""
         if greeting.role == ENTRY_ROLE:
             self._holder_selector.on_connected(greeting)
+            self._config_pushes.on_connected(greeting.node)
             self._send_current_state(greeting.node)
         else:
             self._control_nodes[greeting.node] = greeting.hall
@@ -201,8 +205,7 @@
         self._send_addresses(greeting.node)
 
     def _send_current_state(self, entry: str) -> None:
-        if self.state.version:
-            self._send(entry, self._config_push())
+        self._push_config(entry)
         if self.state.grant.epoch:
             self._send(entry, self.state.grant)
         self._send(entry, WorkersPush(self.workers.all()))
@@ -214,12 +217,14 @@
     def on_stream_lost(self, node: str) -> None:
         """Handles the loss of a stream to a node while another stays open."""
         if self._holder_selector.status_of(node):
+            self._config_pushes.on_stream_lost(node)
             self._send_current_state(node)
         self._send_addresses(node)
 
     def on_disconnected(self, node: str) -> None:
         """Handles the end of the connection of a node."""
         self._holder_selector.on_disconnected(node)
+        self._config_pushes.on_disconnected(node)
         if self._control_nodes.pop(node, None) is not None:
             self.consensus.on_disconnected(box_of(node))
 
@@ -230,7 +235,7 @@
                 if to == self.node:
                     self.consensus.on_message(source, body)
             case EntryStatus():
-                self._holder_selector.on_status(node, message)
+                self._on_entry_status(node, message)
                 if self.is_state_current:
                     self._actions += self._job_store_leader.on_status(
                         node, message
@@ -246,6 +251,19 @@
             case ControlNodes(addresses=addresses):
                 self.add_addresses(addresses)
 
+    def _on_entry_status(self, node: str, status: EntryStatus) -> None:
+        self._holder_selector.on_status(node, status)
+        self._push_config(node)
+
+    def _push_config(self, entry: str) -> None:
+        """Sends the configuration to an entry node if that is due."""
+        status = self._holder_selector.status_of(entry)
+        version = self.state.version
+        if status and self._config_pushes.is_due(entry, status, version):
+            is_repeated = self._config_pushes.on_sent(entry, version)
+            push = ConfigPush(version, self.state.document)
+            self._actions.append(SendConfig(entry, push, is_repeated))
+
     def on_worker_heartbeat(self, info: WorkerInfo) -> None:
         """Handles a heartbeat of a worker."""
         if self.workers.on_heartbeat(info):
@@ -294,7 +312,7 @@
         """Runs the periodic work.
 
         Runs consensus, the work of the leader, the removal of expired workers,
-        and the resending of state to entry nodes.
+        and the resending of the grant to entry nodes.
         """
         self.consensus.tick()
         if self.is_state_current:
@@ -308,13 +326,11 @@
         if now_ms >= self._next_resend_ms:
             self._next_resend_ms = now_ms + RESEND_INTERVAL_MS
             for entry in self._holder_selector.nodes():
-                self._resend_missing(entry)
+                self._resend_grant(entry)
 
-    def _resend_missing(self, entry: str) -> None:
-        """Resends the configuration and grant that an entry node lacks."""
+    def _resend_grant(self, entry: str) -> None:
+        """Resends the grant if an entry node lacks it."""
         status = self._holder_selector.status_of(entry)
-        if status.config_version < self.state.version:
-            self._send(entry, self._config_push())
         if status.epoch < self.state.grant.epoch:
             self._send(entry, self.state.grant)
 
@@ -366,7 +382,8 @@
         self._actions += self._job_store_leader.on_applied(results)
         if self.state.version > self._published_version:
             self._published_version = self.state.version
-            self._actions.append(Broadcast(self._config_push()))
+            for entry in self._holder_selector.nodes():
+                self._push_config(entry)
             emit(
                 Event.CONFIG_COMMITTED,
                 version=self.state.version,
@@ -403,8 +420,5 @@
             )
         )
 
-    def _config_push(self) -> ConfigPush:
-        return ConfigPush(self.state.version, self.state.document)
-
     def _send(self, node: str, message: Message) -> None:
         self._actions.append(Send(node, message))
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -18,6 +18,7 @@
     ControlNode,
     Persist,
     Send,
+    SendConfig,
     VoterPolicy,
     WriteFinished,
     WriteOutcome,
@@ -295,7 +296,7 @@
     def _run_action(self, action: Action) -> None:
         match action:
             case Send(node=node, message=message):
-                if isinstance(message, ConfigPush):
+                if isinstance(action, SendConfig) and action.is_repeated:
                     self._log_resent(node, message)
                 self._streams.send(node, message)
             case Broadcast(message=message):
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -362,6 +362,7 @@
 
     def _on_config(self, node: str, push: ConfigPush) -> None:
         self._metrics.on_config_received()
+        self._entry.on_config_received(node, push.version)
         if not self._entry.needs_config(push):
             return
         emit(
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -101,6 +101,7 @@
         self._min_submit_epoch = 0
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
+        self._received_versions: dict[str, int] = {}
         self._started_ms = clock.now_ms()
         self._workers_sent_to = ("", 0)
 
@@ -223,6 +224,7 @@
         """Handles the loss of the connection to a node."""
         self._role.update_reachability(self._open_nodes.values())
         self._open_nodes.pop(node, None)
+        self._received_versions.pop(node, None)
         if node == self._workers_sent_to[0]:
             self._workers_sent_to = ("", 0)
         self.callers.mark_unsent(node)
@@ -273,9 +275,21 @@
         if table.version <= self.routes.version:
             return False
         self.routes = Routes(table)
+        self._send_status()
         self._use_waiting_workers()
         return True
 
+    def on_config_received(self, control: str, version: int) -> None:
+        """Acknowledges a copy of a configuration to the control node.
+
+        Args:
+            control: the control node that sent it.
+            version: version of the configuration.
+        """
+        received = self._received_versions.get(control, 0)
+        self._received_versions[control] = max(received, version)
+        self._send_status_to(control)
+
     def needs_config(self, push: ConfigPush) -> bool:
         """Returns whether a pushed configuration is newer than the active."""
         return push.version > self.routes.version
@@ -560,14 +574,20 @@
             self._broadcast(ENTRY_ROLE, left)
 
     def _send_status(self) -> None:
+        for greeting in self._open_nodes.values():
+            if greeting.role == CONTROL_ROLE:
+                self._send_status_to(greeting.node)
+
+    def _send_status_to(self, control: str) -> None:
         status = EntryStatus(
             self.routes.version,
             self.epoch,
             self.is_stopping,
             self._needs_epoch,
             self._clock.now_ms(),
+            self._received_versions.get(control, 0),
         )
-        self._broadcast(CONTROL_ROLE, status)
+        self._send(control, status)
 
     @property
     def _may_have_kept_jobs(self) -> bool:
--- a/packages/testbed/src/clayfield/testbed/control_site.py
+++ b/packages/testbed/src/clayfield/testbed/control_site.py
@@ -20,16 +20,79 @@
 )
 from clayfield.state import Record, replay
 from clayfield.state.membership import box_of, node_name
+from clayfield.testbed.slow_link import SlowLink
 from clayfield.testbed.timeline import Timeline
-from clayfield.wire.cluster import EntryStatus, Grant, NodeGreeting
+from clayfield.wire.cluster import (
+    ConfigPush,
+    EntryStatus,
+    Grant,
+    NodeGreeting,
+)
 from clayfield.wire.messages import Message
 
 DELAY_MS = 1.0
 TICK_MS = 20.0
+STATUS_MS = 200.0
 HEARTBEAT_MS = 1500.0
 PORT = 7000
 
 
+class SlowEntry:
+    """An entry node behind a slow link, which receives configurations.
+
+    Attributes:
+        link: link from all control nodes to it.
+        received: versions of the copies that it received, in order.
+        can_use: whether it can use the configurations.
+    """
+
+    def __init__(
+        self, site: "ControlSite", node: str, link: SlowLink, can_use: bool
+    ):
+        self._site = site
+        self._node = node
+        self.link = link
+        self.can_use = can_use
+        self.received: list[int] = []
+        self._received_from: dict[str, int] = {}
+
+    @property
+    def version(self) -> int:
+        """Highest version that the node has received."""
+        return max(self.received, default=0)
+
+    def lose_streams(self) -> None:
+        """Loses the streams in use, and all on the way, beside others."""
+        self.link.drop_waiting()
+        for control in self._site.nodes.values():
+            control.on_stream_lost(self._node)
+
+    def on_push(self, control: str, push: ConfigPush) -> None:
+        """Handles a copy of the configuration from a control node."""
+        self.received.append(push.version)
+        self._received_from[control] = push.version
+        self._report()
+
+    def report_regularly(self) -> None:
+        """Reports the status now and at each interval."""
+        self._report()
+        self._site.call_later(STATUS_MS, self.report_regularly)
+
+    def _report(self) -> None:
+        version = self.version if self.can_use else 0
+        received_from = dict(self._received_from)
+
+        def arrive() -> None:
+            for control in self._site.nodes.values():
+                received = received_from.get(control.node, 0)
+                status = EntryStatus(
+                    version, 0, False, received_version=received
+                )
+                control.on_message(self._node, status)
+
+        self._site.call_later(DELAY_MS, arrive)
+
+
 class ControlSite(Timeline):
     """Control nodes, their disks and the links between them.
 
@@ -38,8 +101,6 @@
         nodes: the running nodes, by address.
         write_outcomes: the outcome of each write, by request.
         grants: every grant that a node broadcast, by epoch.
-        configs: the configuration versions that a node broadcast, in order,
-            by address.
         initial_addresses: the addresses of the initial nodes.
     """
 
@@ -48,7 +109,6 @@
         self.nodes: dict[str, ControlNode] = {}
         self.write_outcomes: dict[int, WriteOutcome] = {}
         self.grants: dict[int, Grant] = {}
-        self.configs: dict[str, list[int]] = {}
         self._rng = random.Random(seed)
         self._disks: dict[str, list[Record]] = {}
         self._disk_ids: dict[str, int] = {}
@@ -56,6 +116,7 @@
         self._partitioned: set[str] = set()
         self._entry_halls: dict[str, str] = {}
         self._statuses: dict[str, EntryStatus] = {}
+        self._slow_entries: dict[str, SlowEntry] = {}
         self.initial_addresses = tuple(
             f"10.0.{n}.1:{PORT}" for n in range(count)
         )
@@ -131,6 +192,17 @@
         for node in self.nodes.values():
             node.on_connected(NodeGreeting("test", entry, "entry", hall))
 
+    def add_slow_entry(
+        self, entry: str, hall: str, bytes_per_s: float, can_use: bool = True
+    ) -> SlowEntry:
+        """Connects an entry node whose link to it has a limited rate."""
+        link = SlowLink(self, bytes_per_s, DELAY_MS)
+        slow_entry = SlowEntry(self, entry, link, can_use)
+        self._slow_entries[entry] = slow_entry
+        self.add_entry_node(entry, hall)
+        slow_entry.report_regularly()
+        return slow_entry
+
     def remove_entry_node(self, entry: str) -> None:
         """Disconnects an entry node from every control node."""
         del self._entry_halls[entry]
@@ -150,12 +222,15 @@
         ]
         return leaders[0] if leaders else None
 
-    def write_config(self, request: int, version: int) -> bool:
+    def write_config(
+        self, request: int, version: int, padding: int = 0
+    ) -> bool:
         """Writes a configuration at the leader.
 
         Args:
             request: the number of the write.
             version: the version of the configuration.
+            padding: number of bytes added to the document.
 
         Returns:
             Whether the leader accepted it; False if there is no leader.
@@ -164,7 +239,7 @@
         if leader is None:
             return False
         is_accepted = leader.write_config(
-            request, version, b"document-%d" % version
+            request, version, b"document-%d" % version + b" " * padding
         )
         self._run_actions(box_of(leader.node), leader)
         return is_accepted
@@ -187,18 +262,27 @@
     def _run_actions(self, address: str, node: ControlNode) -> None:
         for action in node.take_actions():
             match action:
+                case Send(node=to, message=ConfigPush() as push):
+                    self._push(node.node, to, push)
                 case Send(node=to, message=message):
                     self._send(address, node, to, message)
                 case Broadcast(message=Grant() as grant):
                     self.grants[grant.epoch] = grant
                     self._report_epoch(grant)
                 case Broadcast():
-                    self._record_version(address, node)
+                    pass
                 case Persist():
                     self._persist(address, node, action)
                 case WriteFinished(request=request, outcome=outcome):
                     self.write_outcomes[request] = outcome
 
+    def _push(self, control: str, entry: str, push: ConfigPush) -> None:
+        slow_entry = self._slow_entries.get(entry)
+        if slow_entry:
+            slow_entry.link.send(
+                len(push.document), lambda: slow_entry.on_push(control, push)
+            )
+
     def _report_epoch(self, grant: Grant) -> None:
         """Makes every entry node report the epoch of a grant."""
         for entry in self._entry_halls:
@@ -212,11 +296,6 @@
         if entry in self._entry_halls:
             self.send_status(entry, status)
 
-    def _record_version(self, address: str, node: ControlNode) -> None:
-        versions = self.configs.setdefault(address, [])
-        if not versions or versions[-1] != node.state.version:
-            versions.append(node.state.version)
-
     def _persist(
         self, address: str, node: ControlNode, action: Persist
     ) -> None:
--- a/packages/wire/src/clayfield/wire/cluster.py
+++ b/packages/wire/src/clayfield/wire/cluster.py
@@ -127,6 +127,9 @@
             This is so when a hall is no longer partitioned and its workers
             still have the higher fencing token of the hall's standby.
         sent_ms: time of sending, on the sender's clock.
+        received_version: highest version of a configuration that the receiver
+            of this message has delivered to it, whether it can use it or not;
+            -1 if the sender does not report it.
     """
 
     config_version: int
@@ -134,6 +137,7 @@
     is_stopping: bool
     needs_new_epoch: bool = False
     sent_ms: float = 0.0
+    received_version: int = -1
 
 
 class SubmitJob(Message, frozen=True, tag=True):
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -3,12 +3,16 @@
 import pytest
 
 from clayfield.cluster import WriteOutcome
+from clayfield.cluster.config_pushes import ConfigPushes
 from clayfield.state.membership import box_of
 from clayfield.testbed.control_site import ControlSite
 from clayfield.wire.cluster import EntryStatus
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
 SETTLE_MS = 2500
+# Time from an acknowledgement until every entry node uses the version.
+CONFIG_MS = 2000
+DOCUMENT_BYTES = 1_000_000
 ENTRIES = {"e1/1": "x", "e2/1": "x", "e3/1": "y", "e4/1": "z"}
 
 
@@ -36,6 +40,69 @@
         assert (node.state.version, node.state.document) == (5, b"document-5")
 
 
+@pytest.mark.parametrize("bytes_per_s", [4_000_000, 10_000_000])
+@pytest.mark.parametrize("interval_ms", [50, 300])
+def test_newest_configuration_does_not_wait_behind_copies_of_older_ones(
+    bytes_per_s, interval_ms
+):
+    site = _site()
+    entry = site.add_slow_entry("e1/1", "x", bytes_per_s)
+    for version in range(1, 11):
+        assert site.write_config(version, version, DOCUMENT_BYTES)
+        site.run(interval_ms)
+    site.run(CONFIG_MS - interval_ms)
+    assert entry.version == 10
+    copies = entry.link.max_waiting_bytes / DOCUMENT_BYTES
+    assert round(copies) <= len(site.nodes)
+
+
+@pytest.mark.parametrize("bytes_per_s", [2_000_000, 4_000_000])
+def test_configuration_sent_on_a_lost_stream_is_sent_again(bytes_per_s):
+    site = _site()
+    entry = site.add_slow_entry("e1/1", "x", bytes_per_s)
+    assert site.write_config(1, 1, DOCUMENT_BYTES)
+    # All copies are on the way.
+    site.run(120)
+    assert not entry.received
+    entry.lose_streams()
+    site.run(CONFIG_MS)
+    assert entry.version == 1
+
+
+@pytest.mark.parametrize(
+    ("in_force", "received", "sent", "active", "is_due"),
+    [
+        (0, 0, 0, 1, True),
+        (0, 0, 1, 1, False),
+        (0, 0, 1, 2, False),
+        (0, 1, 1, 1, False),
+        (0, 1, 1, 2, True),
+        (2, 0, 1, 2, False),
+        (2, 0, 1, 3, False),
+        # An earlier release reports no receipts.
+        (0, -1, 1, 2, False),
+        (1, -1, 1, 2, True),
+    ],
+)
+def test_configuration_is_due_once_the_former_copy_has_arrived(
+    in_force, received, sent, active, is_due
+):
+    pushes = ConfigPushes()
+    pushes.on_connected("e1/1")
+    pushes.on_sent("e1/1", sent)
+    status = EntryStatus(in_force, 0, False, received_version=received)
+    assert pushes.is_due("e1/1", status, active) == is_due
+
+
+def test_configuration_that_an_entry_node_cannot_use_is_sent_once():
+    site = _site()
+    entry = site.add_slow_entry("e1/1", "x", 10_000_000, can_use=False)
+    for version in (1, 2):
+        assert site.write_config(version, version)
+        site.run(CONFIG_MS)
+        assert entry.received.count(version) == len(site.nodes)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_acknowledged_write_survives_loss_of_one_disk_at_a_time(seed):
     site = _site(seed)
