--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -18,6 +18,7 @@
     ControlNode,
     Persist,
     Send,
+    SendConfig,
     VoterPolicy,
     WriteFinished,
     WriteOutcome,
@@ -269,6 +270,11 @@
         self._control.on_connected(greeting)
         self.schedule_actions()
 
+    def on_stream_lost(self, greeting: NodeGreeting) -> None:
+        """Handles the loss of a stream to a node while another stays open."""
+        self._control.on_stream_lost(greeting.node)
+        self.schedule_actions()
+
     def on_disconnected(self, node: str) -> None:
         """Handles the loss of the last stream to a node."""
         self._control.on_disconnected(node)
@@ -290,7 +296,7 @@
     def _run_action(self, action: Action) -> None:
         match action:
             case Send(node=node, message=message):
-                if isinstance(message, ConfigPush):
+                if isinstance(action, SendConfig) and action.is_repeated:
                     self._log_resent(node, message)
                 self._streams.send(node, message)
             case Broadcast(message=message):
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -332,6 +332,12 @@
         self._entry.on_connected(greeting)
         self.schedule_actions()
 
+    def on_stream_lost(self, greeting: NodeGreeting) -> None:
+        """Handles the loss of a stream to a node while another stays open."""
+        self._entry.on_disconnected(greeting.node)
+        self._entry.on_connected(greeting)
+        self.schedule_actions()
+
     def on_disconnected(self, node: str) -> None:
         """Handles the loss of the last stream to a node."""
         self._entry.on_disconnected(node)
@@ -360,6 +366,7 @@
     def _on_config(self, node: str, push: ConfigPush) -> None:
         """Activates a newer configuration; keeps the active one otherwise."""
         self._metrics.on_config_received()
+        self._entry.on_config_received(node, push.version)
         is_rejected = push.version == self._rejected_version
         if is_rejected or not self._entry.needs_config(push):
             return
