Run all timers of the event loop on the monotonic clock

What callers saw: while the time of day of one node was stepped, its streams to all others ended again and again, and a node that led stopped leading; writes were answered late or with 503.

Cause: twisted's reactor takes the time from time.time. After a step back no timer of the process ends for as long as the step: ticks, keepalives, timeouts, retries. After a step forward all end at once, and every stream counts as idle.

Evidence: test_step_of_time_of_day_ends_no_stream_or_leadership steps the time of day of one of five real processes. Without the change its 9 rows fail, e.g. "assert [8, 0] == [0, 0]" streams lost and leaderships ended after -10 s at an entry node, and the last 4 rows find no leader ("assert 0 == 1"). test_timers_follow_the_given_clock_when_the_time_of_day_goes_back fails on the manual clock: "([], 0.4999...) == (['loop'], 0.5)".

Fix: use_monotonic_timers replaces the reactor's source of time before its first timer; callLater, DelayedCall, LoopingCall and the loop itself all read it from there. Each program calls it, and a test requires that of any module which runs the loop. The 9 rows and the 3 other tests pass.

--- a/packages/base/src/clayfield/base/__init__.py
+++ b/packages/base/src/clayfield/base/__init__.py
@@ -1,7 +1,8 @@
-"""The clock, errors, log events and settings used by every package."""
+"""The clock, timers, errors, log events and settings used by every package."""
 
 from clayfield.base.clock import Clock, ManualClock, MonotonicClock
 from clayfield.base.errors import ClayfieldError, ErrorKind, Problem, Ran
+from clayfield.base.timers import use_monotonic_timers
 
 __all__ = [
     "ClayfieldError",
@@ -11,4 +12,5 @@
     "MonotonicClock",
     "Problem",
     "Ran",
+    "use_monotonic_timers",
 ]
--- a/packages/base/src/clayfield/base/clock.py
+++ b/packages/base/src/clayfield/base/clock.py
@@ -9,6 +9,7 @@
 import time
 
 NS_PER_MS = 1_000_000
+MS_PER_S = 1000.0
 
 
 class Clock(abc.ABC):
--- a/packages/cli/src/clayfield/cli/main.py
+++ b/packages/cli/src/clayfield/cli/main.py
@@ -5,7 +5,11 @@
 
 from twisted.internet import defer, error, reactor, task
 
-from clayfield.base import ClayfieldError
+from clayfield.base import (
+    ClayfieldError,
+    MonotonicClock,
+    use_monotonic_timers,
+)
 from clayfield.base.settings import add_flags, read_settings
 from clayfield.cli import commands, jobs
 from clayfield.cli.client import Client
@@ -79,6 +83,7 @@
     except ClayfieldError as exc:
         print(f"clayfield: {exc}", file=sys.stderr)
         sys.exit(commands.EXIT_USAGE)
+    use_monotonic_timers(reactor, MonotonicClock())
     task.react(_run, (flags, values), reactor)
 
 
--- a/packages/daemon/src/clayfield/daemon/process.py
+++ b/packages/daemon/src/clayfield/daemon/process.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer, error, interfaces, reactor
 from twisted.web import resource
 
+from clayfield.base import MonotonicClock, use_monotonic_timers
 from clayfield.base.events import Event, emit
 from clayfield.box import Identity
 from clayfield.daemon import callers, operators
@@ -46,6 +47,7 @@
         """
         self.failure = ""
         self.is_drained = False
+        use_monotonic_timers(reactor, MonotonicClock())
         self._cfg = cfg
         store = Store(cfg.data_folder) if cfg.data_folder else None
         identity = Identity(
--- a/packages/node/src/clayfield/node/process.py
+++ b/packages/node/src/clayfield/node/process.py
@@ -13,7 +13,7 @@
 from twisted.internet import interfaces, reactor
 from twisted.logger import LogEvent, globalLogBeginner
 
-from clayfield.base import MonotonicClock
+from clayfield.base import MonotonicClock, use_monotonic_timers
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 
@@ -40,7 +40,9 @@
         self._role = role
         self._is_scheduled = False
         self._is_ended = False
-        self._log_filter = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
+        clock = MonotonicClock()
+        use_monotonic_timers(reactor, clock)
+        self._log_filter = RepeatFilter(clock, LOG_INTERVAL_MS)
 
     def run(self) -> None:
         """Runs the event loop until the process ends."""
--- a/packages/testbed/src/clayfield/testbed/demo.py
+++ b/packages/testbed/src/clayfield/testbed/demo.py
@@ -79,8 +79,11 @@
     asyncioreactor.install(loop)
     from twisted.internet import reactor
 
+    from clayfield.base import MonotonicClock, use_monotonic_timers
     from clayfield.testbed.load import JobClient
 
+    use_monotonic_timers(reactor, MonotonicClock())
+
     by_job = {kind.job: kind for kind in kinds}
     outcomes = [Outcome(job, by_job[job["job"]]) for job in jobs]
     callers = {
--- a/packages/testbed/src/clayfield/testbed/pool_workers.py
+++ b/packages/testbed/src/clayfield/testbed/pool_workers.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.internet import reactor, task
 
-from clayfield.base import MonotonicClock
+from clayfield.base import MonotonicClock, use_monotonic_timers
 from clayfield.base.settings import parse_address
 from clayfield.node.httpclient import ConnectionPool
 from clayfield.node.httpserver import HttpLimits, HttpRequest, HttpServer
@@ -210,6 +210,7 @@
     parser.add_argument("--task-ms", type=float, default=20.0)
     arguments = parser.parse_args()
     site = LiveSite()
+    use_monotonic_timers(reactor, site.clock)
     workers = [
         LiveWorker(site, number, arguments.task_ms)
         for number in range(arguments.workers)
--- a/packages/testbed/src/clayfield/testbed/standins.py
+++ b/packages/testbed/src/clayfield/testbed/standins.py
@@ -11,6 +11,8 @@
 from twisted.internet import reactor, task
 from twisted.web import http, resource, server
 
+from clayfield.base import MonotonicClock, use_monotonic_timers
+
 LEAVING = "leaving"
 SERVICE_UNAVAILABLE = 503
 
@@ -123,6 +125,7 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--racks", type=int, default=1)
     flags = parser.parse_args()
+    use_monotonic_timers(reactor, MonotonicClock())
     workers = []
     for hall in flags.hall:
         for number in range(flags.workers):
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -39,7 +39,16 @@
 class Node:
     """A clayfield-node process, entry or control, on loopback ports."""
 
-    def __init__(self, role, name, seeds, folder, first="yes", peers=None):
+    def __init__(
+        self,
+        role,
+        name,
+        seeds,
+        folder,
+        first="yes",
+        peers=None,
+        program=("clayfield.node.main",),
+    ):
         self.role = role
         self.port = free_port()
         self.ready = free_port()
@@ -49,7 +58,7 @@
         self._command = [
             sys.executable,
             "-m",
-            "clayfield.node.main",
+            *program,
             role,
             f"--node={name}",
             f"--peers={LOOPBACK}:{self.peers}",
