Count the time of a suspension in the monotonic clock

What callers saw: after a leader's machine was suspended, a read of the configuration there could return a version older than one that its successor had acknowledged, until the first message of the successor was handled.

Cause: MonotonicClock read CLOCK_MONOTONIC, which stands still while a machine is suspended. A lease of 400 ms was then valid on return, however long ago the last acknowledgement was. Leases of workers and the sessions of entry nodes use the same clock.

Evidence: test_leader_that_was_suspended_serves_no_read_of_an_older_version gives every simulated control node a clock of its own, which counts a suspension if MonotonicClock does. Before the change its three rows fail with "assert not True ... .is_state_current": the leader holds version 1, while 2 was acknowledged 2, 2.5 and 5 s earlier.

Fix: MonotonicClock reads CLOCK_BOOTTIME, and CLOCK_MONOTONIC where that can't be read. A pause between the check of a lease and the reply needs nothing more: the version returned was the latest at the check, which follows the request.

--- a/packages/base/src/clayfield/base/clock.py
+++ b/packages/base/src/clayfield/base/clock.py
@@ -2,7 +2,8 @@
 
 All decision code reads time only from a `Clock` passed to it, so that tests
 can run it on a `ManualClock`. Monotonic readings are comparable only within
-one process.
+one process. They count the time for which the machine is suspended, where the
+system has a clock that does, so that no lease outlasts a suspension.
 """
 
 import abc
@@ -28,14 +29,31 @@
         """
 
 
+def find_monotonic_clock() -> int:
+    """Returns the system's id of the clock that `MonotonicClock` reads.
+
+    It is CLOCK_BOOTTIME where that can be read: CLOCK_MONOTONIC stands still
+    while the machine is suspended.
+    """
+    clock_id = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+    try:
+        time.clock_gettime_ns(clock_id)
+    except OSError:
+        return time.CLOCK_MONOTONIC
+    return clock_id
+
+
 class MonotonicClock(Clock):
     """The clock of the machine."""
 
-    __slots__ = ()
+    __slots__ = ("_clock_id",)
+
+    def __init__(self):
+        self._clock_id = find_monotonic_clock()
 
     def now_ms(self) -> float:
         """Returns the time of the machine's monotonic clock, in ms."""
-        return time.monotonic_ns() / NS_PER_MS
+        return time.clock_gettime_ns(self._clock_id) / NS_PER_MS
 
     def wall_ms(self) -> float:
         """Returns the time of the machine's wall clock, in ms since 1970."""
--- a/packages/testbed/src/clayfield/testbed/control_site.py
+++ b/packages/testbed/src/clayfield/testbed/control_site.py
@@ -1,13 +1,15 @@
 """Simulates a group of control nodes on a manual clock.
 
 Control nodes vote in the replicated control log. Messages take a fixed time
-and are lost between partitioned nodes; records are persisted at once. Tests
-can kill and start nodes, delete their disks and send the statuses that entry
-nodes would report.
+and are lost between partitioned nodes; records are persisted at once, or after
+a fixed time. Tests can kill, start, suspend and resume nodes, delete their
+disks and send the statuses that entry nodes would report.
 """
 
 import random
+from collections.abc import Callable
 
+from clayfield.base import Clock
 from clayfield.cluster import (
     Broadcast,
     ControlNode,
@@ -30,11 +32,55 @@
 PORT = 7000
 
 
+class MachineClock(Clock):
+    """The clock of a machine that can be suspended.
+
+    Attributes:
+        counts_suspension: whether the clock goes on during a suspension.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_stood_still_ms",
+        "_suspended_ms",
+        "counts_suspension",
+    )
+
+    def __init__(self, clock: Clock, counts_suspension: bool):
+        self.counts_suspension = counts_suspension
+        self._clock = clock
+        self._stood_still_ms = 0.0
+        self._suspended_ms: float | None = None
+
+    def now_ms(self) -> float:
+        """Returns the time of the shared clock, less what was not counted."""
+        now_ms = self._clock.now_ms()
+        if self._suspended_ms is not None and not self.counts_suspension:
+            now_ms = self._suspended_ms
+        return now_ms - self._stood_still_ms
+
+    def wall_ms(self) -> float:
+        """Returns the wall-clock time of the shared clock, in ms."""
+        return self._clock.wall_ms()
+
+    def suspend(self) -> None:
+        """Begins a suspension."""
+        self._suspended_ms = self._clock.now_ms()
+
+    def resume(self) -> None:
+        """Ends a suspension."""
+        if not self.counts_suspension:
+            self._stood_still_ms += self._clock.now_ms() - self._suspended_ms
+        self._suspended_ms = None
+
+
 class ControlSite(Timeline):
     """Control nodes, their disks and the links between them.
 
     Attributes:
-        clock: the manual clock that all of them share.
+        clock: the manual clock to which the clocks of all nodes refer.
+        persist_ms: time that storing records takes.
+        acknowledged_version: the highest version that a node acknowledged.
         nodes: the running nodes, by address.
         write_outcomes: the outcome of each write, by request.
         grants: every grant that a node broadcast, by epoch.
@@ -43,8 +89,23 @@
         initial_addresses: the addresses of the initial nodes.
     """
 
-    def __init__(self, count: int, seed: int):
+    def __init__(self, count: int, seed: int, counts_suspension: bool = True):
+        """Starts all nodes.
+
+        Args:
+            count: number of control nodes.
+            seed: seed of the election timeouts.
+            counts_suspension: whether the clocks of the nodes go on while
+                they are suspended.
+        """
         super().__init__()
+        self.persist_ms = 0.0
+        self.acknowledged_version = 0
+        self._voter_count = max(3, count)
+        self._counts_suspension = counts_suspension
+        self._clocks: dict[str, MachineClock] = {}
+        self._suspended: dict[str, list[Callable[[], None]]] = {}
+        self._stored_at_ms: dict[str, float] = {}
         self.nodes: dict[str, ControlNode] = {}
         self.write_outcomes: dict[int, WriteOutcome] = {}
         self.grants: dict[int, Grant] = {}
@@ -76,12 +137,15 @@
             self._last_disk_id += 1
             self._disks[address] = []
             self._disk_ids[address] = self._last_disk_id
+        clock = self._clocks.setdefault(
+            address, MachineClock(self.clock, self._counts_suspension)
+        )
         node = ControlNode(
             node_name(address, self._disk_ids[address]),
-            self.clock,
+            clock,
             random.Random(self._rng.random()),
             replay(self._disks[address]),
-            VoterPolicy(3),
+            VoterPolicy(self._voter_count),
             HEARTBEAT_MS,
         )
         self.nodes[address] = node
@@ -103,6 +167,35 @@
         for other in self.nodes.values():
             other.on_disconnected(killed.node)
 
+    def suspend(self, address: str) -> None:
+        """Suspends the machine of a node; connections stay open."""
+        self._clocks[address].suspend()
+        self._suspended[address] = []
+
+    def resume(self, address: str) -> None:
+        """Resumes the machine of a node; what waits is handled by `run`."""
+        self._clocks[address].resume()
+        for callback in self._suspended.pop(address):
+            self.call_later(0.0, callback)
+
+    def is_suspended(self, address: str) -> bool:
+        """Whether the machine of a node is suspended."""
+        return address in self._suspended
+
+    def _when_awake(self, address: str, callback: Callable[[], None]) -> None:
+        """Calls a function once the machine of a node is not suspended."""
+        if address in self._suspended:
+            self._suspended[address].append(callback)
+        else:
+            callback()
+
+    def transfer_leadership(self, address: str) -> bool:
+        """Makes a node give up leadership; returns whether it asked another."""
+        node = self.nodes[address]
+        is_asked = node.consensus.transfer_leadership()
+        self._run_actions(address, node)
+        return is_asked
+
     def lose_disk(self, address: str) -> None:
         """Deletes the disk of a node that is not running."""
         del self._disks[address]
@@ -178,6 +271,9 @@
         )
 
     def _tick(self, address: str, node: ControlNode) -> None:
+        if address in self._suspended:
+            self._when_awake(address, lambda: self._tick(address, node))
+            return
         if self.nodes.get(address) is not node:
             return
         node.tick()
@@ -198,6 +294,10 @@
                     self._persist(address, node, action)
                 case WriteFinished(request=request, outcome=outcome):
                     self.write_outcomes[request] = outcome
+                    if outcome is WriteOutcome.IN_FORCE:
+                        self.acknowledged_version = max(
+                            self.acknowledged_version, action.version
+                        )
 
     def _report_epoch(self, grant: Grant) -> None:
         """Makes every entry node report the epoch of a grant."""
@@ -220,7 +320,27 @@
     def _persist(
         self, address: str, node: ControlNode, action: Persist
     ) -> None:
-        """Persists records at once and sends the messages that follow them."""
+        """Persists records, then sends the messages that follow them."""
+        if not self.persist_ms:
+            self._on_stored(address, node, action)
+            return
+        due_ms = max(
+            self.clock.now_ms() + self.persist_ms * bool(action.records),
+            self._stored_at_ms.get(address, 0.0),
+        )
+        self._stored_at_ms[address] = due_ms
+        self.call_later(
+            due_ms - self.clock.now_ms(),
+            lambda: self._when_awake(
+                address, lambda: self._on_stored(address, node, action)
+            ),
+        )
+
+    def _on_stored(
+        self, address: str, node: ControlNode, action: Persist
+    ) -> None:
+        if self.nodes.get(address) is not node:
+            return
         self._disks[address] += action.records
         for message in action.messages:
             self._send(address, node, message.to, message)
@@ -240,7 +360,7 @@
             receiver.on_message(node.node, message)
             self._run_actions(box_of(to), receiver)
 
-        self.call_later(DELAY_MS, arrive)
+        self.call_later(DELAY_MS, lambda: self._when_awake(box_of(to), arrive))
 
 
 def _greeting(node: ControlNode) -> NodeGreeting:
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,72 @@
+"""Tests of the clock of leases, and of reads under the lease of a leader."""
+
+import time
+
+import pytest
+
+from clayfield.base import MonotonicClock
+from clayfield.base.clock import find_monotonic_clock
+from clayfield.state.membership import box_of
+from clayfield.testbed.control_site import ControlSite
+
+SETTLE_MS = 2500
+SUSPENSION_MS = 5000.0
+NS_PER_MS = 1_000_000
+
+
+def _counts_suspension(monkeypatch):
+    """Returns whether a `MonotonicClock` goes on during a suspension."""
+    real = time.clock_gettime_ns
+    suspension_ns = int(SUSPENSION_MS * NS_PER_MS)
+
+    def read_after_suspension(clock_id):
+        is_counted = clock_id == time.CLOCK_BOOTTIME
+        return real(clock_id) + suspension_ns * is_counted
+
+    clock = MonotonicClock()
+    before_ms = clock.now_ms()
+    with monkeypatch.context() as context:
+        context.setattr(time, "clock_gettime_ns", read_after_suspension)
+        return clock.now_ms() - before_ms >= SUSPENSION_MS
+
+
+def _suspend_leader_during_write(site, duration_ms):
+    """Suspends the leader while its successor acknowledges a write."""
+    site.run(SETTLE_MS)
+    leader = site.leader()
+    assert site.write_config(1, 1)
+    site.run(100)
+    site.suspend(box_of(leader.node))
+    site.run(duration_ms / 2)
+    assert site.write_config(2, 2)
+    site.run(duration_ms / 2)
+    assert site.acknowledged_version == 2
+    site.resume(box_of(leader.node))
+    return leader
+
+
+@pytest.mark.parametrize("duration_ms", [4000.0, SUSPENSION_MS, 10_000.0])
+def test_leader_that_was_suspended_serves_no_read_of_an_older_version(
+    monkeypatch, duration_ms
+):
+    site = ControlSite(3, 1, _counts_suspension(monkeypatch))
+    leader = _suspend_leader_during_write(site, duration_ms)
+    assert (leader.consensus.is_leader, leader.state.version) == (True, 1)
+    assert not leader.is_state_current
+    site.run(SETTLE_MS)
+    assert leader.state.version == 2
+
+
+def test_monotonic_clock_is_used_where_the_boot_clock_cannot_be_read(
+    monkeypatch,
+):
+    real = time.clock_gettime_ns
+
+    def refuse_boot_time(clock_id):
+        if clock_id == time.CLOCK_BOOTTIME:
+            raise OSError("invalid clock")
+        return real(clock_id)
+
+    monkeypatch.setattr(time, "clock_gettime_ns", refuse_boot_time)
+    assert find_monotonic_clock() == time.CLOCK_MONOTONIC
+    assert MonotonicClock().now_ms() > 0
