Take the ports of tests from outside the range for outgoing connections

free_port asked the system for a port, which came from the range of /proc/sys/net/ipv4/ip_local_port_range. Between that call and the start of the process, and at each restart, any outgoing connection on the machine could have the port as its local end; the process then couldn't listen.

Ports now come from 10000 to 65535 without that range, at random and checked to be free.

--- a/packages/testbed/src/clayfield/testbed/processes.py
+++ b/packages/testbed/src/clayfield/testbed/processes.py
@@ -1,6 +1,7 @@
 """Runs boxes and stand-in workers as processes on loopback, for tests."""
 
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -11,6 +12,9 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
+MIN_PORT = 10_000
+MAX_PORT = 65_535
+OUTGOING_PORTS_FILE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
 
 _used_ports: set[int] = set()
@@ -19,15 +23,36 @@
 def free_port() -> int:
     """Returns a free port of loopback, a different one at each call.
 
-    The system may offer the same port again until a process listens at it.
+    It lies outside the range from which the system takes the local ports of
+    outgoing connections.
     """
-    while True:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        if port not in _used_ports:
+    first, last = _outgoing_ports()
+    candidates = [
+        port
+        for port in range(MIN_PORT, MAX_PORT + 1)
+        if not first <= port <= last and port not in _used_ports
+    ]
+    random.SystemRandom().shuffle(candidates)
+    for port in candidates:
+        if _is_free(port):
             _used_ports.add(port)
             return port
+    raise OSError(f"no port outside {first} to {last} is free")
+
+
+def _outgoing_ports() -> tuple[int, int]:
+    """Returns the first and the last local port of outgoing connections."""
+    first, last = OUTGOING_PORTS_FILE.read_text().split()
+    return int(first), int(last)
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def fetch(url: str, timeout_s: float = 5.0) -> bytes:
