Wait for a port in use instead of ending

Callers and operators saw: a node that ended at each start for as long as another socket had one of its ports, with "Couldn't listen ... Address already in use". A port in the system's range for outgoing connections may be the local end of any connection on the machine, for as long as that is open.

Every listener of a node (peers, callers, readiness, operators, metrics) now tries again every 100 ms without a limit, and logs ADDRESS_IN_USE (2010) with the address and the remedy every 5 s. There is no limit since the supervisor would start the node again into the same state. An address that fails for another reason, such as one that isn't the machine's, still ends the node at its start. A node opens no streams before it listens for peers: the port keeps a second process of one control node from voting beside the first. An entry node isn't ready before it listens for callers.

Evidence: tests/test_ports.py holds each of the seven ports with an open connection while a real node starts.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -369,6 +369,12 @@
         "a message to a peer can't be sent",
         ("peer", "message_type", "error"),
     )
+    ADDRESS_IN_USE = _Spec(
+        2010,
+        logbook.WARNING,
+        "another socket uses an address of this node, which tries it again",
+        ("address", "remedy"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -236,7 +236,8 @@
         )
 
     def _on_readiness(self, request: HttpRequest) -> None:
-        request.respond(200 if self._entry.is_ready else 503)
+        is_ready = self._entry.is_ready and self._server.is_listening
+        request.respond(200 if is_ready else 503)
 
     def _on_request(self, request: HttpRequest) -> None:
         call = self._callers.read_call(request, self._entry.routes)
--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -17,6 +17,7 @@
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
+from clayfield.node.listening import Listener
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
@@ -319,30 +320,33 @@
         self.connections: set[HttpConnection] = set()
         self.is_closing = False
         self._failures = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
-        self._port: interfaces.IListeningPort | None = None
+        self._listener = Listener(reactor, self)
 
     def buildProtocol(self, addr: object) -> HttpConnection:  # noqa: N802
         """Returns the protocol of a new connection."""
         return HttpConnection(self)
 
     def listen(self, address: tuple[str, int]) -> None:
-        """Starts to listen.
+        """Starts to listen, now or as soon as the address is free.
 
         Args:
             address: IP address and port; port 0 for any free one.
 
         Raises:
-            twisted.internet.error.CannotListenError: the address is in use.
+            twisted.internet.error.CannotListenError: the address can't be
+                used, though no other socket has it.
         """
-        host, port = address
-        self._port = self.reactor.listenTCP(
-            port, self, backlog=1024, interface=host
-        )
+        self._listener.start(address)
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._listener.is_listening
 
     @property
     def port(self) -> int:
         """The port on which the server listens."""
-        return self._port.getHost().port
+        return self._listener.port
 
     def log_failure(self, error: str) -> None:
         """Logs an exception of the handler, unless done lately."""
@@ -367,6 +371,4 @@
 
     def stop(self) -> None:
         """Stops accepting connections; the open ones stay open."""
-        if self._port:
-            self._port.stopListening()
-            self._port = None
+        self._listener.stop()
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -173,7 +173,8 @@
         """Starts to listen if the settings name an address for metrics.
 
         Raises:
-            twisted.internet.error.CannotListenError: the address is in use.
+            twisted.internet.error.CannotListenError: the address can't be
+                used, though no other socket has it.
         """
         if cfg.metrics:
             self._server.listen(cfg.metrics)
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -19,6 +19,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 from clayfield.base.settings import parse_address as read_address
+from clayfield.node.listening import Listener
 from clayfield.state.membership import box_of
 from clayfield.wire.cluster import (
     MAX_FRAME_BYTES,
@@ -232,20 +233,30 @@
         self._by_node: dict[str, list[_Stream]] = {}
         self._roles: dict[str, str] = {}
         self._dropped = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
-        self._port: interfaces.IListeningPort | None = None
+        self._listener = Listener(
+            reactor,
+            protocol.Factory.forProtocol(lambda: _Stream(self)),
+            self._on_listening,
+        )
         self._keepalive_loop = task.LoopingCall(self._keep_alive)
 
     def start(self) -> None:
         """Listens at this node's address and starts the keepalive timer.
 
+        No connection is opened before the address is this node's: a second
+        process of the same control node must not vote beside the first.
+
         Raises:
-            twisted.internet.error.CannotListenError: the address is in use.
+            twisted.internet.error.CannotListenError: the address can't be
+                used, though no other socket has it.
         """
-        host, port = read_address(box_of(self.greeting.node))
-        factory = protocol.Factory.forProtocol(lambda: _Stream(self))
-        self._port = self.reactor.listenTCP(port, factory, interface=host)
+        self._listener.start(read_address(box_of(self.greeting.node)))
         self._keepalive_loop.start(KEEPALIVE_INTERVAL_S, now=False)
 
+    def _on_listening(self) -> None:
+        for connector in self._connectors.values():
+            connector.start()
+
     def stop(self) -> None:
         """Closes all streams and stops listening."""
         self.is_stopped = True
@@ -253,15 +264,15 @@
             self._keepalive_loop.stop()
         for stream in list(self._open_streams):
             stream.transport.loseConnection()
-        if self._port:
-            self._port.stopListening()
+        self._listener.stop()
 
     def connect(self, address: str) -> None:
         """Opens a stream to an address and reopens it whenever it closes."""
         if address in self._connectors or address == box_of(self.greeting.node):
             return
         connector = self._connectors[address] = _Connector(self, address)
-        connector.start()
+        if self._listener.is_listening:
+            connector.start()
 
     def send(self, node: str, message: Message) -> bool:
         """Sends a message to a node.
