Close a connection that a node made to itself

A node that dials a dead peer's port in the system's range for outgoing connections may get that port as its own local end; on loopback, or at its own address, TCP then connects the socket to itself (simultaneous open). The node received its own greeting and keepalives, registered itself as a peer, and kept the port for good, so that the peer could not listen when it started again.

A connection whose two ends are the same address is now aborted when it opens, which frees the port without TIME_WAIT and logs SELF_CONNECTED (2011). A greeting with the node's own name is rejected as well, for connections that come back by way of another address.

Evidence: the test opens each connection from the port that it goes to. Before, it failed with "assert ['127.0.0.1:11435/1'] == []": the node was its own peer. Now four attempts are made in a row and none registers.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -375,6 +375,12 @@
         "another socket uses an address of this node, which tries it again",
         ("address", "remedy"),
     )
+    SELF_CONNECTED = _Spec(
+        2011,
+        logbook.WARNING,
+        "a connection to a peer's address reached this node and was closed",
+        ("address",),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -78,11 +78,19 @@
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
         """Sends this node's greeting."""
+        if self.transport.getHost() == self.transport.getPeer():
+            self._abort_self_connection()
+            return
         self.transport.setTcpNoDelay(True)
         self.last_received_s = self._streams.reactor.seconds()
         self.sendString(encode_node_greeting(self._streams.greeting))
         self._streams.on_connected(self)
 
+    def _abort_self_connection(self) -> None:
+        """Frees the peer's port, which the system took as the local one."""
+        emit(Event.SELF_CONNECTED, address=self.address)
+        self.transport.abortConnection()
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handles a frame; an invalid one aborts the connection."""
         self.last_received_s = self._streams.reactor.seconds()
@@ -106,6 +114,10 @@
                 ErrorKind.BAD_FRAME,
                 f"peer is in another cluster, {greeting.cluster!r}.",
             )
+        if greeting.node == self._streams.greeting.node:
+            raise ClayfieldError(
+                ErrorKind.BAD_FRAME, "the peer is this node itself."
+            )
         self.node = greeting.node
         self._streams.on_greeted(self, greeting)
 
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -7,11 +7,73 @@
 import sys
 
 import pytest
+from twisted.internet.epollreactor import EPollReactor
 
+from clayfield.node.streams import StreamListener, Streams
 from clayfield.testbed.processes import free_port, wait_for
+from clayfield.wire.cluster import NodeGreeting
 
 LOOPBACK = "127.0.0.1"
 TIMEOUT_S = 5.0
+ATTEMPTS = 3
+
+
+class _Connections(StreamListener):
+    """Records the names of the nodes that connected."""
+
+    def __init__(self):
+        self.nodes = []
+
+    def on_connected(self, greeting):
+        self.nodes.append(greeting.node)
+
+    def on_disconnected(self, node):
+        pass
+
+    def on_messages(self, node, messages):
+        pass
+
+
+class _SamePortReactor(EPollReactor):
+    """Opens each connection from the port that it goes to.
+
+    The system makes this choice by chance for a port in its range for
+    outgoing connections.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.attempts = 0
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
+        self.attempts += 1
+        if self.attempts > ATTEMPTS:
+            self.stop()
+        return super().connectTCP(host, port, factory, timeout, (host, port))
+
+
+def _run(reactor):
+    """Runs a reactor until it is stopped, for `TIMEOUT_S` at most."""
+    reactor.callLater(TIMEOUT_S, reactor.stop)
+    reactor.run(installSignalHandlers=False)
+
+
+def _streams(reactor, listener):
+    node = f"{LOOPBACK}:{free_port()}/1"
+    return Streams(
+        reactor, NodeGreeting("clayfield", node, "control", "hall"), listener
+    )
+
+
+def test_connection_to_itself_neither_counts_as_peer_nor_keeps_the_port():
+    reactor = _SamePortReactor()
+    listener = _Connections()
+    streams = _streams(reactor, listener)
+    streams.start()
+    streams.connect(f"{LOOPBACK}:{free_port()}")
+    _run(reactor)
+    assert listener.nodes == []
+    assert reactor.attempts > ATTEMPTS
 
 
 class _PortInUse:
