--- a/packages/node/src/clayfield/node/process.py
+++ b/packages/node/src/clayfield/node/process.py
@@ -40,12 +40,11 @@
         self._role = role
         self._is_scheduled = False
         self._is_ended = False
-        clock = MonotonicClock()
-        use_monotonic_timers(reactor, clock)
-        self._log_filter = RepeatFilter(clock, LOG_INTERVAL_MS)
+        self._log_filter = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
 
     def run(self) -> None:
         """Runs the event loop until the process ends."""
+        use_monotonic_timers(reactor, MonotonicClock())
         globalLogBeginner.beginLoggingTo(
             [_log_failure], redirectStandardIO=False, discardBuffer=True
         )
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -19,6 +19,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 from clayfield.base.settings import parse_address as read_address
+from clayfield.node.listening import Listener
 from clayfield.state.membership import box_of
 from clayfield.wire.cluster import (
     MAX_FRAME_BYTES,
@@ -84,6 +85,9 @@
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
         """Sends this node's greeting."""
+        if self.transport.getHost() == self.transport.getPeer():
+            self._abort_self_connection()
+            return
         self.transport.setTcpNoDelay(True)
         self.last_received_s = self._streams.reactor.seconds()
         self.sendString(encode_node_greeting(self._streams.greeting))
@@ -94,6 +98,11 @@
         self.last_received_s = self._streams.reactor.seconds()
         super().dataReceived(data)
 
+    def _abort_self_connection(self) -> None:
+        """Frees the peer's port, which the system took as the local one."""
+        emit(Event.SELF_CONNECTED, address=self.address)
+        self.transport.abortConnection()
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handles a frame; an invalid one aborts the connection."""
         if not string:
@@ -116,6 +125,10 @@
                 ErrorKind.BAD_FRAME,
                 f"peer is in another cluster, {greeting.cluster!r}.",
             )
+        if greeting.node == self._streams.greeting.node:
+            raise ClayfieldError(
+                ErrorKind.BAD_FRAME, "the peer is this node itself."
+            )
         self.node = greeting.node
         self._streams.on_greeted(self, greeting)
 
@@ -243,21 +256,31 @@
         self._by_node: dict[str, list[_Stream]] = {}
         self._greetings: dict[str, NodeGreeting] = {}
         self._dropped = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
-        self._port: interfaces.IListeningPort | None = None
+        self._listener = Listener(
+            reactor,
+            protocol.Factory.forProtocol(lambda: _Stream(self)),
+            self._on_listening,
+        )
         self._keepalive_loop = task.LoopingCall(self._keep_alive)
         self._keepalive_loop.clock = reactor
 
     def start(self) -> None:
         """Listens at this node's address and starts the keepalive timer.
 
+        No connection is opened before the address is this node's: a second
+        process of the same control node must not vote beside the first.
+
         Raises:
-            twisted.internet.error.CannotListenError: the address is in use.
+            twisted.internet.error.CannotListenError: the address can't be
+                used, though no other socket has it.
         """
-        host, port = read_address(box_of(self.greeting.node))
-        factory = protocol.Factory.forProtocol(lambda: _Stream(self))
-        self._port = self.reactor.listenTCP(port, factory, interface=host)
+        self._listener.start(read_address(box_of(self.greeting.node)))
         self._keepalive_loop.start(KEEPALIVE_INTERVAL_S, now=False)
 
+    def _on_listening(self) -> None:
+        for connector in self._connectors.values():
+            connector.start()
+
     def stop(self) -> None:
         """Closes all streams and stops listening."""
         self.is_stopped = True
@@ -265,15 +288,15 @@
             self._keepalive_loop.stop()
         for stream in list(self._open_streams):
             stream.transport.loseConnection()
-        if self._port:
-            self._port.stopListening()
+        self._listener.stop()
 
     def connect(self, address: str) -> None:
         """Opens a stream to an address and reopens it whenever it closes."""
         if address in self._connectors or address == box_of(self.greeting.node):
             return
         connector = self._connectors[address] = _Connector(self, address)
-        connector.start()
+        if self._listener.is_listening:
+            connector.start()
 
     def send(self, node: str, message: Message) -> bool:
         """Sends a message to a node.
