Test that a write to a full disk keeps earlier records

The simulated folder gets a capacity. A write that fails half way, three times in a row with a restart or a loss of power in between, leaves all earlier records, a folder that opens while the disk is still full, and no temporary file; 120 rows.

--- a/packages/testbed/src/clayfield/testbed/disk.py
+++ b/packages/testbed/src/clayfield/testbed/disk.py
@@ -12,7 +12,9 @@
 """
 
 import dataclasses
+import errno
 import itertools
+import os
 import random
 
 from clayfield.daemon.data_folder import DataFolder
@@ -57,6 +59,8 @@
 
     Attributes:
         operations: number of changes and syncs begun so far.
+        capacity_bytes: total size of all files beyond which writes fail, None
+            for no limit.
     """
 
     def __init__(self, rng: random.Random, exists: bool = False):
@@ -67,6 +71,7 @@
             exists: whether the folder is there before it is first opened.
         """
         self.operations = 0
+        self.capacity_bytes: int | None = None
         self._rng = rng
         self._kill_at: int | None = None
         self._exists = exists
@@ -198,7 +203,17 @@
         if self.operations == self._kill_at:
             file.cached += data[: self._rng.randrange(len(data) + 1)]
         self._begin()
-        file.cached += data
+        fitting = data[: self._free_bytes(len(data))]
+        file.cached += fitting
+        if len(fitting) < len(data):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    def _free_bytes(self, wanted: int) -> int:
+        """Returns how many bytes of a write fit."""
+        if self.capacity_bytes is None:
+            return wanted
+        used = sum(len(file.cached) for file in self._names.values())
+        return min(wanted, max(0, self.capacity_bytes - used))
 
     def truncate(self, fd: int, size: int) -> None:
         """See base class."""
--- a/tests/test_store_power.py
+++ b/tests/test_store_power.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from clayfield.base import ClayfieldError, ErrorKind
 from clayfield.daemon.store import Store
 from clayfield.state import (
     Append,
@@ -201,3 +202,32 @@
             history.folder.end_process()
     history.folder.lose_power()
     history.open()
+
+
+@pytest.mark.parametrize("kind", ["append", "snapshot"])
+@pytest.mark.parametrize("room", [0, 1, 40, 100, 5000, 100_000])
+@pytest.mark.parametrize("is_power_lost", [False, True])
+@pytest.mark.parametrize("seed", range(5))
+def test_write_to_a_full_disk_keeps_earlier_records(
+    seed, is_power_lost, room, kind
+):
+    history = _stored(seed)
+    folder = history.folder
+    history.write([_append(2, 1024 * 1024)])
+    used = sum(len(folder.read(name)) for name in folder.list_names())
+    folder.capacity_bytes = used + room
+    records = [_append(3, 9000), _append(4, 1024 * 1024)]
+    if kind == "snapshot":
+        records = [Snapshot(1, 1, Members(("a/1",)), b"s"), *records]
+    for _ in range(3):
+        with pytest.raises(ClayfieldError) as info:
+            history.write(records)
+        assert info.value.kind is ErrorKind.STORE_FAILED
+        _end(folder, is_power_lost)
+        history.open()
+    names = folder.list_names()
+    assert not [name for name in names if name.endswith(".new")]
+    folder.capacity_bytes = None
+    history.write([_append(history.store.state.log.last_index + 1, 9)])
+    folder.lose_power()
+    history.open()
