Complete a first start that was interrupted

What callers would see: after a first start in which all control nodes lose power within their first write, no control node ever leads.

Cause: the initial voters were written only if the log had no instance. Of the first write, a loss of power may keep the record that creates the log and lose the entry with the voters.

Evidence: tests/test_first_start.py test_first_start_that_was_interrupted_ is_completed failed before for one and for two of the three records (no voters).

Fix: the initial entry is written as long as the log has no entry. A term and vote that are stored already stay.

Result: tests/test_first_start.py and tests/test_containment.py pass.

--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -121,9 +121,13 @@
         store = Store(
             self._cfg.data_folder, disk_id=FIRST_STORE_ID if is_first else None
         )
-        if is_first and not store.state.instance:
+        if is_first and not store.state.log.last_index:
             voters = tuple(node_name(seed, FIRST_STORE_ID) for seed in seeds)
-            store.write(make_initial_records(voters))
+            records = make_initial_records(voters)
+            if store.state.hard_state.term:
+                # An earlier, interrupted first start; its vote must stay.
+                records = [r for r in records if isinstance(r, Append)]
+            store.write(records)
             store.close()
             store = Store(self._cfg.data_folder)
         return store
