Test control nodes with the store on a simulated folder

tests/test_control_disks.py now runs Store on SimulatedFolder in place of a model of it: a node is killed or loses power within the file operations of a write. A new row guards against the loss of a change that was acknowledged by a node that had been killed between write and sync: the third disk stalls, then the leader's disk is lost and the others lose power.

--- a/packages/testbed/src/clayfield/testbed/control_site.py
+++ b/packages/testbed/src/clayfield/testbed/control_site.py
@@ -20,7 +20,7 @@
     WriteOutcome,
     make_initial_records,
 )
-from clayfield.state import Record, replay
+from clayfield.state import Record, RestoredState, replay
 from clayfield.state.membership import box_of, node_name
 from clayfield.testbed.slow_link import SlowLink
 from clayfield.testbed.timeline import Timeline
@@ -205,7 +205,7 @@
             node_name(address, self._disk_ids[address]),
             clock,
             random.Random(self._rng.random()),
-            replay(self._disks[address]),
+            self._restore(address),
             VoterPolicy(self._voter_count),
             HEARTBEAT_MS,
         )
@@ -218,6 +218,10 @@
             node.on_connected(NodeGreeting("test", entry, "entry", hall))
         self._tick(address, node)
 
+    def _restore(self, address: str) -> RestoredState:
+        """Returns the state that a node restores from its disk."""
+        return replay(self._disks[address])
+
     def _connect(self, node: ControlNode, other: ControlNode) -> None:
         node.on_connected(_greeting(other))
         other.on_connected(_greeting(node))
--- a/tests/test_control_disks.py
+++ b/tests/test_control_disks.py
@@ -1,11 +1,14 @@
 """Tests of control nodes whose disks take time, stall and lose power."""
 
+import contextlib
 import random
 
 import pytest
 
 from clayfield.cluster import WriteOutcome
+from clayfield.daemon.store import Store
 from clayfield.testbed.control_site import ControlSite
+from clayfield.testbed.disk import ProcessKilledError, SimulatedFolder
 
 SYNC_MS = 9.0
 STALL_MS = 3500.0
@@ -13,69 +16,91 @@
 
 
 class _Disk:
-    """The disk of a node: a queue of actions, written one batch at a time.
+    """The disk of a node: a folder, and a queue of actions to be written.
 
     Attributes:
+        folder: the data folder.
+        store: the store of the running process.
         waiting: actions whose write has not begun.
-        cached: records written but not yet synced.
-        is_busy: whether a write is running.
+        writing: records of the write that runs, None if none does.
         free_ms: time until which the disk does nothing.
     """
 
-    __slots__ = ("cached", "free_ms", "is_busy", "waiting")
+    __slots__ = ("folder", "free_ms", "store", "waiting", "writing")
 
-    def __init__(self):
+    def __init__(self, folder, store):
+        self.folder = folder
+        self.store = store
         self.waiting = []
-        self.cached = []
-        self.is_busy = False
+        self.writing = None
         self.free_ms = 0.0
 
 
 class _DiskSite(ControlSite):
-    """A group of control nodes that sync their records before they send."""
+    """A group of control nodes with stores that take time to sync."""
 
     def __init__(self, count, seed):
-        self._queues = {}
+        self._rng_disks = random.Random(seed)
+        self._folders = {}
+        self._running = {}
         super().__init__(count, seed)
 
-    def start(self, address):
-        self._queues[address] = _Disk()
-        super().start(address)
+    def _restore(self, address):
+        is_new = address not in self._folders
+        if is_new:
+            folder = SimulatedFolder(self._rng_disks, exists=True)
+            self._folders[address] = folder
+        folder = self._folders[address]
+        store = Store(folder, self._disk_ids[address])
+        if is_new and self._disks[address]:
+            store.write(self._disks[address])
+            store = Store(folder)
+        self._running[address] = _Disk(folder, store)
+        return store.state
 
     def stall(self, address, duration_ms):
-        self._queues[address].free_ms = self.clock.now_ms() + duration_ms
-
-    def kill(self, address):
-        """Kills a node; what it wrote stays, since opening syncs it."""
-        self._disks[address] += self._queues.pop(address).cached
+        self._running[address].free_ms = self.clock.now_ms() + duration_ms
+
+    def kill(self, address, operations=1):
+        """Kills a node after some operations of the write that runs."""
+        disk = self._running.pop(address)
+        if disk.writing:
+            disk.folder.kill_after(operations)
+            with contextlib.suppress(ProcessKilledError):
+                disk.store.write(disk.writing)
+        disk.folder.end_process()
         super().kill(address)
 
-    def lose_power(self, address, kept):
-        """Ends a node; of the unsynced records, `kept` stay."""
-        self._disks[address] += self._queues.pop(address).cached[:kept]
-        super().kill(address)
+    def lose_power(self, address, operations=1):
+        self.kill(address, operations)
+        self._folders[address].lose_power()
+
+    def lose_disk(self, address):
+        del self._folders[address]
+        super().lose_disk(address)
 
     def _persist(self, address, node, action):
-        disk = self._queues[address]
-        if not (action.records or disk.is_busy or disk.waiting):
+        disk = self._running[address]
+        is_idle = disk.writing is None and not disk.waiting
+        if is_idle and not action.records:
             super()._persist(address, node, action)
             return
         disk.waiting.append(action)
         self._write_next(address, node, disk)
 
     def _write_next(self, address, node, disk):
-        if disk.is_busy or not disk.waiting:
+        if disk.writing is not None or not disk.waiting:
             return
-        disk.is_busy = True
         batch, disk.waiting = disk.waiting, []
-        disk.cached = [r for action in batch for r in action.records]
+        disk.writing = [r for action in batch for r in action.records]
         stall_ms = max(0.0, disk.free_ms - self.clock.now_ms())
 
         def finish():
-            if self._queues.get(address) is not disk:
+            if self._running.get(address) is not disk:
                 return
-            disk.is_busy = False
-            disk.cached = []
+            if disk.writing:
+                disk.store.write(disk.writing)
+            disk.writing = None
             for action in batch:
                 super(_DiskSite, self)._persist(address, node, action)
             self._write_next(address, node, disk)
@@ -139,7 +164,7 @@
         case "stall":
             site.stall(address, rng.choice([50.0, 500.0, STALL_MS]))
         case "kill":
-            site.kill(address)
+            site.kill(address, rng.randint(0, 2))
             site.start(address)
         case "power":
             _lose_power(site, rng, [address])
@@ -149,6 +174,30 @@
 
 def _lose_power(site, rng, addresses):
     for address in addresses:
-        site.lose_power(address, rng.randint(0, 3))
+        site.lose_power(address, rng.randint(0, 2))
     for address in addresses:
         site.start(address)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_change_acknowledged_after_a_kill_before_the_sync_is_not_lost(seed):
+    site = _DiskSite(3, seed)
+    site.run(2000)
+    leader = site.leader()
+    first, second, third = sorted(
+        site.initial_addresses, key=lambda a: site.nodes[a] is not leader
+    )
+    site.stall(third, STALL_MS)
+    assert site.write_config(1, 1)
+    site.run(4)
+    site.kill(second)
+    site.start(second)
+    site.run(200)
+    assert site.write_outcomes[1] is WriteOutcome.IN_FORCE
+    for address in (first, second, third):
+        site.lose_power(address)
+    site.lose_disk(first)
+    for address in (first, second, third):
+        site.start(address)
+    site.run(WAIT_MS)
+    assert site.leader().state.version == 1
