Pass on workers to a holder that has not heard of them

A route was added whose service's workers announced themselves to a control node without a connection to the holder: its jobs were accepted and waited until their time was over, as the holder did not know the workers that other entry nodes knew.

Cause: control nodes push a worker's heartbeat once, when it is new or has changed, and only to the entry nodes that they reach. Entry nodes passed their workers on once for each grant and connection, with the first job, so workers that came later stayed unknown.

Entry nodes now pass on each worker that the holder has not reported as its own 200 ms after its heartbeat (clayfield.pool.worker_relay). It works for each way by which the holder can lack a worker, also one that drains.

The tests of jobs that a former holder started assume that the new holder lacks the workers of a hall. Now it would get them from that hall's entry nodes, and the job that was to time out was completed.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -24,6 +24,7 @@
 from clayfield.pool.tasks import TaskId
 from clayfield.pool.timing import PoolTiming
 from clayfield.pool.worker_registry import WorkerRegistry
+from clayfield.pool.worker_relay import WorkerRelay
 from clayfield.wire.checks import find_heartbeat_error
 from clayfield.wire.cluster import (
     CancelJob,
@@ -85,6 +86,7 @@
         self._open_nodes: dict[str, NodeGreeting] = {}
         self._last_connected_ms: dict[str, float] = {}
         self._workers = WorkerRegistry()
+        self._relay = WorkerRelay(clock)
         self._rejections = RepeatFilter(clock, LOG_INTERVAL_MS)
         # Names whose heartbeats describe no worker of a known service.
         self._unused_names: set[str] = set()
@@ -225,6 +227,7 @@
         self._open_nodes.pop(node, None)
         if node == self._workers_sent_to[0]:
             self._workers_sent_to = ("", 0)
+        self._relay.on_disconnected(node)
         self.callers.mark_unsent(node)
 
     def on_message(self, node: str, message: Message) -> None:
@@ -234,7 +237,7 @@
                 self._on_grant(message)
             case WorkersPush(workers=workers):
                 for info in workers:
-                    self._on_worker_heartbeat(info)
+                    self._on_worker_heartbeat(node, info)
             case WorkerLeft():
                 self._on_worker_removed(message)
             case SubmitJob():
@@ -280,7 +283,7 @@
         """Returns whether a pushed configuration is newer than the active."""
         return push.version > self.routes.version
 
-    def _on_worker_heartbeat(self, info: WorkerInfo) -> None:
+    def _on_worker_heartbeat(self, node: str, info: WorkerInfo) -> None:
         error = find_heartbeat_error(info)
         if error:
             # A control node of an earlier version passes it on unchecked.
@@ -291,8 +294,17 @@
         if latest:
             log_ignored(info, latest)
         else:
+            self._record_source(node, info)
             self._use_workers([info.name])
 
+    def _record_source(self, node: str, info: WorkerInfo) -> None:
+        """Records whether the holder has a heartbeat or may lack it."""
+        greeting = self._open_nodes.get(node)
+        if greeting and greeting.role == ENTRY_ROLE:
+            self._relay.on_report(node, info)
+        else:
+            self._relay.on_heartbeat(info)
+
     def _use_worker(self, dispatcher: Dispatcher, name: str) -> bool:
         """Passes the latest heartbeat of a worker to the dispatcher.
 
@@ -358,6 +370,7 @@
         self._drop_ended_leases()
         for info in self._workers.remove(name, born_ms, address):
             self._left_workers.append((now_ms, info))
+            self._relay.on_removed(info)
         if name in self._workers:
             self._unused_names.add(name)
 
@@ -543,6 +556,16 @@
             self._next_status_ms = now_ms + STATUS_MS
             self._send_status()
             self._send_counts()
+            self._relay_workers()
+
+    def _relay_workers(self) -> None:
+        """Passes on the workers that a holder elsewhere has not reported."""
+        is_elsewhere = self.holder != self.node and self.is_holder_reachable
+        holder = self.holder if is_elsewhere else ""
+        self._relay.set_holder(holder, self._workers.all())
+        infos = self._relay.take_due()
+        if infos:
+            self._send(holder, WorkersPush(infos))
 
     def _connected_halls(self) -> dict[str, float]:
         """Returns the time of the latest new connection, by connected hall."""
--- a/packages/testbed/src/clayfield/testbed/pool_site.py
+++ b/packages/testbed/src/clayfield/testbed/pool_site.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -294,6 +294,37 @@
         self._run_actions(node)
         return request_id
 
+    def submit_by_route(
+        self,
+        node: str,
+        path: str,
+        key: str,
+        is_kept: bool = False,
+        step: Step = DEFAULT_STEP,
+    ) -> bool:
+        """Submits a job of one step as a caller does, by host and path.
+
+        Args:
+            node: name of the entry node that gets the job.
+            path: path of the request.
+            key: the job's idempotency key.
+            is_kept: whether the job is kept (durable).
+            step: the step of the job.
+
+        Returns:
+            Whether the entry node has a route for the path.
+        """
+        entry = self.entries[node]
+        route = entry.routes.find("host", path)
+        if route is None:
+            return False
+        job = route.make_job(
+            key, "spec", (step,), CALLER_TIMEOUT_MS, is_kept, None
+        )
+        entry.submit(job, self._add_request(key))
+        self._run_actions(node)
+        return True
+
     def hang_up(self, node: str, request_id: int) -> None:
         """Ends the connection of the caller of a request.
 
@@ -434,6 +465,38 @@
         for entry in self.entries.values():
             entry.on_config(table)
 
+    def configure(self, node: str, table: RoutingTable) -> None:
+        """Activates a configuration at an entry node, if it is newer."""
+        self.entries[node].on_config(table)
+        self._run_actions(node)
+
+    def add_worker(self, name: str, hall: str, service: str) -> None:
+        """Starts another worker, which no node knows before it announces it.
+
+        Args:
+            name: name of the worker.
+            hall: its hall.
+            service: its service.
+        """
+        template = next(
+            worker.info
+            for worker in self.workers.values()
+            if worker.info.hall == hall
+        )
+        info = msgspec.structs.replace(
+            template,
+            name=name,
+            service=service,
+            address=_make_address(hall, len(self.workers)),
+        )
+        self.workers[name] = FakeWorker(self, info, task_ms=DEFAULT_TASK_MS)
+
+    def announce_worker(self, name: str, nodes: Iterable[str]) -> None:
+        """Delivers a worker's present heartbeat to some entry nodes."""
+        info = self.workers[name].info
+        for node in nodes:
+            self._deliver(node, "control", WorkersPush((info,)))
+
     def refuse_connections(self, worker: str) -> None:
         """Makes a worker refuse every connection; what runs there goes on."""
         self._refusing.add(worker)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -183,6 +183,8 @@
     site.submit("a-1/2", "job", template=template)
     site.run(20)
     assert _runs_of(site, "job")
+    # The entry nodes of that hall would pass on its workers.
+    site.partition("c")
     site.grant("b-0/2", {"a": "a-1/2", "c": "c-0/1"})
     return site, template
 
