--- a/packages/state/src/clayfield/state/_replication.py
+++ b/packages/state/src/clayfield/state/_replication.py
@@ -1,6 +1,15 @@
-"""A leader's view of how far each follower has replicated the log."""
+"""A leader's view of how far each follower has replicated the log.
+
+Streams deliver messages in order or end, so an unanswered request is sent again
+only when the reply to a later one shows that it was lost.
+"""
+
+import collections
 
 MAX_UNANSWERED_APPENDS = 8
+# Bytes of unanswered entries above which no further ones are sent.
+MAX_UNANSWERED_BYTES = 512 * 1024
+LONG_AGO_MS = -1e12
 
 
 class Progress:
@@ -10,72 +19,123 @@
         next_index: index of the next entry to send.
         match_index: highest index up to which the follower's log is known to
             agree with the leader's.
-        unanswered: number of append requests with entries not yet answered.
         acked_ms: time at which the latest answered request was sent, in ms.
         snapshot_index: index of the snapshot being sent, 0 for none.
         snapshot_offset: number of bytes of it that the follower has received.
+        is_chunk_unanswered: whether the latest chunk of it is unanswered.
     """
 
     __slots__ = (
-        "_match_at_heartbeat",
+        "_chunk_sent_ms",
+        "_rewound_ms",
+        "_unanswered",
+        "_unanswered_bytes",
         "acked_ms",
+        "is_chunk_unanswered",
         "match_index",
         "next_index",
         "snapshot_index",
         "snapshot_offset",
-        "unanswered",
     )
 
     def __init__(self, next_index: int, now_ms: float):
         self.next_index = next_index
         self.match_index = 0
-        self.unanswered = 0
         self.acked_ms = now_ms
         self.snapshot_index = 0
         self.snapshot_offset = 0
-        self._match_at_heartbeat = -1
+        self.is_chunk_unanswered = False
+        self._chunk_sent_ms = LONG_AGO_MS
+        self._rewound_ms = LONG_AGO_MS
+        # The last index and the size of each unanswered request.
+        self._unanswered: collections.deque[tuple[int, int]] = (
+            collections.deque()
+        )
+        self._unanswered_bytes = 0
+
+    # Entries.
 
     @property
     def can_send_entries(self) -> bool:
         """Whether another request with entries may be sent now."""
-        return self.unanswered < MAX_UNANSWERED_APPENDS
+        return (
+            len(self._unanswered) < MAX_UNANSWERED_APPENDS
+            and self._unanswered_bytes < MAX_UNANSWERED_BYTES
+        )
 
-    def begin_snapshot(self, index: int) -> None:
-        """Starts sending a snapshot unless it is being sent already."""
-        if index != self.snapshot_index:
-            self.snapshot_index = index
-            self.snapshot_offset = 0
+    def on_sent(self, count: int, size_bytes: int) -> None:
+        """Records a request with entries.
+
+        Args:
+            count: number of the entries, from `next_index` on.
+            size_bytes: number of bytes of their data.
+        """
+        self.next_index += count
+        self._unanswered.append((self.next_index - 1, size_bytes))
+        self._unanswered_bytes += size_bytes
 
     def on_match(self, index: int) -> None:
         """Records that the follower's log agrees up to an index."""
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, self.match_index + 1)
-        self.unanswered = max(0, self.unanswered - 1)
+        while self._unanswered and self._unanswered[0][0] <= self.match_index:
+            _, size_bytes = self._unanswered.popleft()
+            self._unanswered_bytes -= size_bytes
 
-    def on_mismatch(self, hint: int) -> bool:
+    def on_mismatch(self, hint: int, sent_ms: float, now_ms: float) -> bool:
         """Moves back after a reply that the follower's log does not agree.
 
         Args:
             hint: highest index up to which the logs may agree.
+            sent_ms: time at which the answered request was sent, in ms.
+            now_ms: current time, in ms.
 
         Returns:
-            Whether earlier entries are to be sent. False if those are known
-            to agree, which means that the reply is an outdated one.
+            Whether earlier entries are to be sent. False if the request was
+            sent before the latest move, or if the entries are known to agree,
+            which means that the reply is an outdated one.
         """
+        if sent_ms < self._rewound_ms:
+            return False
         previous = self.next_index
         self.next_index = (
             max(self.match_index, min(hint, self.next_index - 2)) + 1
         )
-        self.unanswered = 0
+        self._rewound_ms = now_ms
+        self._unanswered.clear()
+        self._unanswered_bytes = 0
         return self.next_index < previous
 
-    def rewind_if_stalled(self) -> None:
-        """Prepares to send entries again that may have been lost.
+    # Snapshots.
 
-        To be called at each heartbeat; takes effect if entries are unanswered
-        and no further ones have matched since the call before.
+    def begin_snapshot(self, index: int) -> None:
+        """Starts sending a snapshot unless it is being sent already."""
+        if index != self.snapshot_index:
+            self.snapshot_index = index
+            self.snapshot_offset = 0
+            self.is_chunk_unanswered = False
+
+    def on_chunk_sent(self, now_ms: float) -> None:
+        """Records that the next chunk of the snapshot is sent."""
+        self.is_chunk_unanswered = True
+        self._chunk_sent_ms = now_ms
+
+    def on_chunk_reply(self, offset: int, sent_ms: float) -> bool:
+        """Handles a reply to a chunk or to a probe.
+
+        Args:
+            offset: number of bytes that the follower has received.
+            sent_ms: time at which the chunk or probe was sent, in ms.
+
+        Returns:
+            Whether the next chunk is to be sent. False for the reply to what
+            was sent before the latest chunk.
         """
-        if self.unanswered and self.match_index == self._match_at_heartbeat:
-            self.next_index = self.match_index + 1
-            self.unanswered = 0
-        self._match_at_heartbeat = self.match_index
+        is_advanced = offset != self.snapshot_offset
+        is_answer = sent_ms > self._chunk_sent_ms or (
+            sent_ms == self._chunk_sent_ms and is_advanced
+        )
+        if is_answer:
+            self.snapshot_offset = offset
+            self.is_chunk_unanswered = False
+        return is_answer
--- a/packages/state/src/clayfield/state/_snapshots.py
+++ b/packages/state/src/clayfield/state/_snapshots.py
@@ -16,17 +16,23 @@
 ) -> SnapshotChunk:
     """Returns the next chunk of a snapshot to send to a follower.
 
+    While a chunk is unanswered it is an empty one, which probes how much the
+    follower has received.
+
     Args:
         group: name of the group.
         term: term of the leader.
         snapshot: latest snapshot of the leader.
-        progress: progress of the follower. If it refers to another snapshot,
-            the transfer starts again with this one.
+        progress: progress of the follower in this snapshot.
         now_ms: current time, in ms.
     """
-    progress.begin_snapshot(snapshot.index)
     start = progress.snapshot_offset
-    data = snapshot.data[start : start + CHUNK_BYTES]
+    size = CHUNK_BYTES
+    if progress.is_chunk_unanswered:
+        size = 0
+    else:
+        progress.on_chunk_sent(now_ms)
+    data = snapshot.data[start : start + size]
     return SnapshotChunk(
         group,
         term,
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -509,7 +509,6 @@
             self._clock.now_ms() + self._timing.heartbeat_interval_ms
         )
         for node, progress in self._progress.items():
-            progress.rewind_if_stalled()
             self._send_append(node, progress, is_heartbeat=True)
 
     def _broadcast(self) -> None:
@@ -527,7 +526,7 @@
         prev_index = progress.next_index - 1
         prev_term = self._log.term_at(prev_index)
         if prev_term is None:
-            self._send_snapshot(node, progress)
+            self._send_snapshot(node, progress, is_heartbeat)
             return
         entries: list[LogEntry] = []
         if progress.can_send_entries:
@@ -536,8 +535,9 @@
             )
         if not entries and not is_heartbeat:
             return
-        progress.next_index += len(entries)
-        progress.unanswered += bool(entries)
+        if entries:
+            size = sum(len(entry.data) for entry in entries)
+            progress.on_sent(len(entries), size)
         self._send(
             node,
             AppendRequest(
@@ -602,7 +602,9 @@
         if reply.is_matching:
             progress.on_match(reply.match_index)
             self._advance_commit()
-        elif not progress.on_mismatch(reply.match_index):
+        elif not progress.on_mismatch(
+            reply.match_index, reply.sent_ms, self._clock.now_ms()
+        ):
             return
         if progress.next_index <= self._log.last_index:
             self._send_append(source, progress, is_heartbeat=False)
@@ -665,9 +667,15 @@
         """Returns the members, None while a change of them is not applied."""
         return self.members if self._members_index <= self._applied else None
 
-    def _send_snapshot(self, node: str, progress: Progress) -> None:
+    def _send_snapshot(
+        self, node: str, progress: Progress, is_heartbeat: bool
+    ) -> None:
+        """Sends the next chunk, or a heartbeat while one is unanswered."""
         now_ms = self._clock.now_ms()
         snapshot = self._log.snapshot
+        progress.begin_snapshot(snapshot.index)
+        if progress.is_chunk_unanswered and not is_heartbeat:
+            return
         chunk = next_chunk(self.group, self.term, snapshot, progress, now_ms)
         self._send(node, chunk)
 
@@ -713,7 +721,8 @@
         snapshot = self._log.snapshot
         if snapshot is None or reply.index != snapshot.index:
             return
-        progress.snapshot_offset = reply.offset
+        if not progress.on_chunk_reply(reply.offset, reply.sent_ms):
+            return
         if reply.offset >= len(snapshot.data):
             progress.on_match(reply.index)
             self._advance_commit()
--- a/packages/testbed/src/clayfield/testbed/control_site.py
+++ b/packages/testbed/src/clayfield/testbed/control_site.py
@@ -29,6 +29,7 @@
     EntryStatus,
     Grant,
     NodeGreeting,
+    encode_batch,
 )
 from clayfield.wire.messages import Message
 
@@ -148,6 +149,8 @@
         write_outcomes: the outcome of each write, by request.
         grants: every grant that a node broadcast, by epoch.
         initial_addresses: the addresses of the initial nodes.
+        links: the links of limited rate between control nodes, by the
+            addresses of sender and receiver.
     """
 
     def __init__(self, count: int, seed: int, counts_suspension: bool = True):
@@ -178,6 +181,8 @@
         self._entry_halls: dict[str, str] = {}
         self._statuses: dict[str, EntryStatus] = {}
         self._slow_entries: dict[str, SlowEntry] = {}
+        self._link_bytes_per_s = 0.0
+        self.links: dict[tuple[str, str], SlowLink] = {}
         self.initial_addresses = tuple(
             f"10.0.{n}.1:{PORT}" for n in range(count)
         )
@@ -308,6 +313,11 @@
         for node in self.nodes.values():
             node.on_message(entry, status)
 
+    def limit_links(self, bytes_per_s: float) -> None:
+        """Limits the rate of every link between control nodes."""
+        self._link_bytes_per_s = bytes_per_s
+        self.links.clear()
+
     def leader(self) -> ControlNode | None:
         """Returns the leader whose state is current, if any."""
         leaders = [
@@ -439,7 +449,16 @@
             receiver.on_message(node.node, message)
             self._run_actions(box_of(to), receiver)
 
-        self.call_later(DELAY_MS, lambda: self._when_awake(box_of(to), arrive))
+        def arrive_when_awake() -> None:
+            self._when_awake(box_of(to), arrive)
+
+        if not self._link_bytes_per_s:
+            self.call_later(DELAY_MS, arrive_when_awake)
+            return
+        route = (address, box_of(to))
+        if route not in self.links:
+            self.links[route] = SlowLink(self, self._link_bytes_per_s, DELAY_MS)
+        self.links[route].send(len(encode_batch([message])), arrive_when_awake)
 
 
 def _greeting(node: ControlNode) -> NodeGreeting:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -56,6 +56,50 @@
     assert round(copies) <= len(site.nodes)
 
 
+@pytest.mark.parametrize("bytes_per_s", [3_000_000, 5_000_000, 20_000_000])
+@pytest.mark.parametrize("interval_ms", [50, 300])
+def test_entries_on_their_way_to_a_follower_are_not_sent_again(
+    bytes_per_s, interval_ms
+):
+    site = _site()
+    site.limit_links(bytes_per_s)
+    count = 10
+    for version in range(1, count + 1):
+        assert site.write_config(version, version, DOCUMENT_BYTES)
+        site.run(interval_ms)
+    site.run(count * DOCUMENT_BYTES / bytes_per_s * 1000)
+    versions = [node.state.version for node in site.nodes.values()]
+    assert versions == [count] * 3
+    for link in site.links.values():
+        assert link.sent_bytes < (count + 1) * DOCUMENT_BYTES
+        assert link.max_waiting_bytes < 2 * DOCUMENT_BYTES
+
+
+@pytest.mark.parametrize("bytes_per_s", [1_000_000, 5_000_000])
+def test_chunks_on_their_way_to_a_follower_are_not_sent_again(bytes_per_s):
+    site = _site()
+    for version in range(1, 67):
+        site.write_config(version, version, DOCUMENT_BYTES)
+        site.run(20)
+    replaced = next(
+        address
+        for address, node in site.nodes.items()
+        if node is not site.leader()
+    )
+    site.kill(replaced)
+    site.lose_disk(replaced)
+    site.run(SETTLE_MS)
+    log = site.leader().consensus._log
+    size = len(log.snapshot.data) + log.size_bytes
+    assert size > 2 * DOCUMENT_BYTES
+    site.limit_links(bytes_per_s)
+    site.start(replaced)
+    site.run(5 * size / bytes_per_s * 1000)
+    assert site.nodes[replaced].state.version == 66
+    for link in site.links.values():
+        assert link.sent_bytes < 1.1 * size
+
+
 @pytest.mark.parametrize("bytes_per_s", [2_000_000, 4_000_000])
 def test_configuration_sent_on_a_lost_stream_is_sent_again(bytes_per_s):
     site = _site()
