Tell connected nodes of control nodes that join later

A control node sent the list of control nodes only when a stream opened. An entry node that stayed connected while the others were replaced one by one at new addresses, or added by new seeds, ended up connected to one control node, and to none when that one went; the new leader had no entry node to push to or to grant.

A control node sends its list to all connected nodes whenever it grows.

Test: test_connected_nodes_learn_of_a_control_node_that_joins_later failed before in all three rows (nobody was told but the node that connected) and passes.

--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -190,8 +190,16 @@
     # Events.
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
-        """Adds addresses of control nodes."""
+        """Adds addresses of control nodes; tells connected nodes of new ones.
+
+        Each node passes on an address once, so all learn of it.
+        """
+        if self._addresses.issuperset(addresses):
+            return
         self._addresses.update(addresses)
+        self._actions.append(Broadcast(self._known_addresses()))
+        for node in self._control_nodes:
+            self._send_addresses(node)
 
     def on_connected(self, greeting: NodeGreeting) -> None:
         """Handles a new connection of a node."""
@@ -201,7 +209,7 @@
             self._send_current_state(greeting.node)
         else:
             self._control_nodes[greeting.node] = greeting.hall
-            self._addresses.add(box_of(greeting.node))
+            self.add_addresses((box_of(greeting.node),))
         self._send_addresses(greeting.node)
 
     def _send_current_state(self, entry: str) -> None:
@@ -211,8 +219,11 @@
         self._send(entry, WorkersPush(self.workers.all()))
 
     def _send_addresses(self, node: str) -> None:
+        self._send(node, self._known_addresses())
+
+    def _known_addresses(self) -> ControlNodes:
         addresses = (*self.addresses, box_of(self.node))
-        self._send(node, ControlNodes(tuple(sorted(addresses))))
+        return ControlNodes(tuple(sorted(addresses)))
 
     def on_stream_lost(self, node: str) -> None:
         """Handles the loss of a stream to a node while another stays open."""
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from clayfield.cluster import WriteOutcome
+from clayfield.cluster import Broadcast, Send, WriteOutcome
 from clayfield.cluster.config_pushes import ConfigPushes
 from clayfield.state.membership import box_of
 from clayfield.testbed.control_site import ControlSite
-from clayfield.wire.cluster import EntryStatus
+from clayfield.wire.cluster import ControlNodes, EntryStatus, NodeGreeting
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
 SETTLE_MS = 2500
@@ -347,6 +347,42 @@
     assert node.workers.all() == latest
 
 
+@pytest.mark.parametrize("way", ["seeds", "connection", "message"])
+def test_connected_nodes_learn_of_a_control_node_that_joins_later(way):
+    # Nodes that stayed connected while all others were replaced knew only one.
+    site = _site(entries=ENTRIES)
+    node = site.leader()
+    joined = "10.0.9.1:7000"
+    if way == "seeds":
+        node.add_addresses((joined,))
+    elif way == "connection":
+        node.on_connected(
+            NodeGreeting("test", f"{joined}/5", "control", "hall-9")
+        )
+    else:
+        other = next(n for n in site.nodes.values() if n is not node)
+        node.on_message(other.node, ControlNodes((joined,)))
+    told = _addresses_sent(node)
+    peers = {n.node for n in site.nodes.values() if n is not node}
+    assert told.keys() >= {"all entry nodes", *peers}
+    assert all(joined in addresses for addresses in told.values())
+    # What is known already is not passed on again.
+    node.on_message(next(iter(peers)), ControlNodes((joined,)))
+    assert _addresses_sent(node) == {}
+
+
+def _addresses_sent(node):
+    """Returns the control nodes' addresses that a node sends, by receiver."""
+    told = {}
+    for action in node.take_actions():
+        match action:
+            case Broadcast(message=ControlNodes(addresses=addresses)):
+                told["all entry nodes"] = addresses
+            case Send(node=to, message=ControlNodes(addresses=addresses)):
+                told[to] = addresses
+    return told
+
+
 def _info(state, sequence, born_ms=0):
     return WorkerInfo(
         "w1",
