--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from clayfield.cluster import WriteOutcome
+from clayfield.cluster import Broadcast, Send, WriteOutcome
 from clayfield.cluster.config_pushes import ConfigPushes
 from clayfield.state.membership import box_of
 from clayfield.testbed.control_site import ControlSite
-from clayfield.wire.cluster import EntryStatus
+from clayfield.wire.cluster import ControlNodes, EntryStatus, NodeGreeting
 from clayfield.wire.jobs import WorkerInfo, WorkerState
 
 SETTLE_MS = 2500
@@ -56,6 +56,50 @@
     assert round(copies) <= len(site.nodes)
 
 
+@pytest.mark.parametrize("bytes_per_s", [3_000_000, 5_000_000, 20_000_000])
+@pytest.mark.parametrize("interval_ms", [50, 300])
+def test_entries_on_their_way_to_a_follower_are_not_sent_again(
+    bytes_per_s, interval_ms
+):
+    site = _site()
+    site.limit_links(bytes_per_s)
+    count = 10
+    for version in range(1, count + 1):
+        assert site.write_config(version, version, DOCUMENT_BYTES)
+        site.run(interval_ms)
+    site.run(count * DOCUMENT_BYTES / bytes_per_s * 1000)
+    versions = [node.state.version for node in site.nodes.values()]
+    assert versions == [count] * 3
+    for link in site.links.values():
+        assert link.sent_bytes < (count + 1) * DOCUMENT_BYTES
+        assert link.max_waiting_bytes < 2 * DOCUMENT_BYTES
+
+
+@pytest.mark.parametrize("bytes_per_s", [1_000_000, 5_000_000])
+def test_chunks_on_their_way_to_a_follower_are_not_sent_again(bytes_per_s):
+    site = _site()
+    for version in range(1, 67):
+        site.write_config(version, version, DOCUMENT_BYTES)
+        site.run(20)
+    replaced = next(
+        address
+        for address, node in site.nodes.items()
+        if node is not site.leader()
+    )
+    site.kill(replaced)
+    site.lose_disk(replaced)
+    site.run(SETTLE_MS)
+    log = site.leader().consensus._log
+    size = len(log.snapshot.data) + log.size_bytes
+    assert size > 2 * DOCUMENT_BYTES
+    site.limit_links(bytes_per_s)
+    site.start(replaced)
+    site.run(5 * size / bytes_per_s * 1000)
+    assert site.nodes[replaced].state.version == 66
+    for link in site.links.values():
+        assert link.sent_bytes < 1.1 * size
+
+
 @pytest.mark.parametrize("bytes_per_s", [2_000_000, 4_000_000])
 def test_configuration_sent_on_a_lost_stream_is_sent_again(bytes_per_s):
     site = _site()
@@ -303,6 +347,42 @@
     assert node.workers.all() == latest
 
 
+@pytest.mark.parametrize("way", ["seeds", "connection", "message"])
+def test_connected_nodes_learn_of_a_control_node_that_joins_later(way):
+    # Nodes that stayed connected while all others were replaced knew only one.
+    site = _site(entries=ENTRIES)
+    node = site.leader()
+    joined = "10.0.9.1:7000"
+    if way == "seeds":
+        node.add_addresses((joined,))
+    elif way == "connection":
+        node.on_connected(
+            NodeGreeting("test", f"{joined}/5", "control", "hall-9")
+        )
+    else:
+        other = next(n for n in site.nodes.values() if n is not node)
+        node.on_message(other.node, ControlNodes((joined,)))
+    told = _addresses_sent(node)
+    peers = {n.node for n in site.nodes.values() if n is not node}
+    assert told.keys() >= {"all entry nodes", *peers}
+    assert all(joined in addresses for addresses in told.values())
+    # What is known already is not passed on again.
+    node.on_message(next(iter(peers)), ControlNodes((joined,)))
+    assert _addresses_sent(node) == {}
+
+
+def _addresses_sent(node):
+    """Returns the control nodes' addresses that a node sends, by receiver."""
+    told = {}
+    for action in node.take_actions():
+        match action:
+            case Broadcast(message=ControlNodes(addresses=addresses)):
+                told["all entry nodes"] = addresses
+            case Send(node=to, message=ControlNodes(addresses=addresses)):
+                told[to] = addresses
+    return told
+
+
 def _info(state, sequence, born_ms=0):
     return WorkerInfo(
         "w1",
