--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -66,9 +66,12 @@
         heartbeat_interval_ms: time between the heartbeats of a leader.
         snapshot_threshold: number of log entries above which a snapshot is
             taken.
+        snapshot_bytes: size of the log entries above which a snapshot is
+            taken, too.
     """
 
     __slots__ = (
+        "snapshot_bytes",
         "snapshot_threshold",
         "election_timeout_ms",
         "heartbeat_interval_ms",
@@ -79,10 +82,12 @@
         election_timeout_ms: float = 400.0,
         heartbeat_interval_ms: float = 100.0,
         snapshot_threshold: int = 4096,
+        snapshot_bytes: int = 8 * 1024 * 1024,
     ):
         self.election_timeout_ms = election_timeout_ms
         self.heartbeat_interval_ms = heartbeat_interval_ms
         self.snapshot_threshold = snapshot_threshold
+        self.snapshot_bytes = snapshot_bytes
 
 
 class Ready:
@@ -644,7 +649,9 @@
     # Snapshots.
 
     def _is_compaction_due(self) -> bool:
-        if len(self._log) <= self._timing.snapshot_threshold:
+        is_long = len(self._log) > self._timing.snapshot_threshold
+        is_large = self._log.size_bytes > self._timing.snapshot_bytes
+        if not is_long and not is_large:
             return False
         snapshot = self._log.snapshot
         min_size = SNAPSHOT_RATIO * len(snapshot.data) if snapshot else 0
