Keep the leader while an entry takes longer than the election timeout

Heartbeats wait behind a large message on the same stream. Where an entry took longer than the election timeout to arrive, the followers elected another leader, or the leader stepped down without acknowledgements, and the entry was dropped: a change of 1 MB over 1 MB/s or less was never committed, however often it was sent, and each attempt cost a change of leader.

Streams report the bytes that arrive. A follower in the middle of a message of its leader starts no election; keepalives alone do not count, so that a leader that has stepped down is replaced. A leader stays while followers that have not answered its entries are alive. Leases and votes count replies as before, so reads wait until the lease is renewed.

--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -239,6 +239,16 @@
         if self._control_nodes.pop(node, None) is not None:
             self.consensus.on_disconnected(box_of(node))
 
+    def on_data(self, node: str, is_in_message: bool) -> None:
+        """Handles the arrival of bytes from a node.
+
+        Args:
+            node: the node.
+            is_in_message: whether the rest of a message is still to arrive.
+        """
+        if node in self._control_nodes:
+            self.consensus.on_data(node, is_in_message)
+
     def on_message(self, node: str, message: Message) -> None:
         """Handles a message of a node."""
         match message:
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -280,6 +280,10 @@
         self._control.on_disconnected(node)
         self.schedule_actions()
 
+    def on_data(self, node: str, is_in_message: bool) -> None:
+        """Handles the arrival of bytes from a node."""
+        self._control.on_data(node, is_in_message)
+
     def on_messages(self, node: str, messages: list[Message]) -> None:
         """Handles messages from a node."""
         for message in messages:
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -344,6 +344,9 @@
         self._entry.on_disconnected(node)
         self.schedule_actions()
 
+    def on_data(self, node: str, is_in_message: bool) -> None:
+        """Does nothing; only whole messages count here."""
+
     def on_messages(self, node: str, messages: list[Message]) -> None:
         """Handles messages from a node."""
         for message in messages:
--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -59,6 +59,15 @@
         Messages sent on the lost one may not have arrived.
         """
 
+    @abc.abstractmethod
+    def on_data(self, node: str, is_in_message: bool) -> None:
+        """Handles the arrival of bytes from a node.
+
+        Args:
+            node: the node.
+            is_in_message: whether the rest of a message is still to arrive.
+        """
+
     @abc.abstractmethod
     def on_messages(self, node: str, messages: list[Message]) -> None:
         """Handles messages from a node."""
@@ -97,6 +106,8 @@
         """Handles received bytes, which may end in the middle of a frame."""
         self.last_received_s = self._streams.reactor.seconds()
         super().dataReceived(data)
+        if self.node:
+            self._streams.listener.on_data(self.node, bool(self._unprocessed))
 
     def _abort_self_connection(self) -> None:
         """Frees the peer's port, which the system took as the local one."""
--- a/packages/state/src/clayfield/state/_replication.py
+++ b/packages/state/src/clayfield/state/_replication.py
@@ -27,6 +27,7 @@
 
     __slots__ = (
         "_chunk_sent_ms",
+        "_received_ms",
         "_rewound_ms",
         "_unanswered",
         "_unanswered_bytes",
@@ -42,6 +43,7 @@
         self.next_index = next_index
         self.match_index = 0
         self.acked_ms = now_ms
+        self._received_ms = now_ms
         self.snapshot_index = 0
         self.snapshot_offset = 0
         self.is_chunk_unanswered = False
@@ -53,6 +55,22 @@
         )
         self._unanswered_bytes = 0
 
+    # Activity.
+
+    @property
+    def last_active_ms(self) -> float:
+        """Time of the latest sign of life, in ms."""
+        return max(self.acked_ms, self._received_ms)
+
+    def on_data(self, now_ms: float) -> None:
+        """Records the arrival of bytes from the follower.
+
+        They count only while it has entries or a chunk to answer, behind which
+        heartbeats wait.
+        """
+        if self._unanswered or self.is_chunk_unanswered:
+            self._received_ms = now_ms
+
     # Entries.
 
     @property
--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -308,13 +308,13 @@
     def tick(self) -> None:
         """Runs the periodic work: sends heartbeats or starts an election.
 
-        A leader that a majority has not acknowledged for two election
+        A leader that has had no contact with a majority for two election
         timeouts steps down.
         """
         now_ms = self._clock.now_ms()
         if self.is_leader:
             if (
-                now_ms - self._quorum_contact_ms()
+                now_ms - self._quorum_activity_ms()
                 > self._timing.election_timeout_ms * 2
             ):
                 self._become_follower(self.term, "")
@@ -356,6 +356,25 @@
             rank = others.index(self.node) if self.node in others else 0
             self._election.on_leader_lost(rank)
 
+    def on_data(self, source: str, is_in_message: bool) -> None:
+        """Handles the arrival of bytes from another node.
+
+        Heartbeats and their replies wait behind a large message. A follower
+        that is receiving one from its leader starts no election, and a leader
+        does not step down while followers that have not answered it are alive.
+        Leases count replies only.
+
+        Args:
+            source: the other node.
+            is_in_message: whether the rest of a message is still to arrive.
+        """
+        if self.is_leader:
+            progress = self._progress.get(source)
+            if progress:
+                progress.on_data(self._clock.now_ms())
+        elif is_in_message and source == self.leader:
+            self._election.on_leader_contact()
+
     def on_persisted(self, last_index: int) -> None:
         """Records that the entries up to an index are on stable storage."""
         self._persisted = min(last_index, self._log.last_index)
@@ -735,13 +754,21 @@
 
         The time is that at which the acknowledged requests were sent.
         """
+        return self._quorum_time_ms(lambda progress: progress.acked_ms)
+
+    def _quorum_activity_ms(self) -> float:
+        """Returns when a majority last showed that it is alive, in ms."""
+        return self._quorum_time_ms(lambda progress: progress.last_active_ms)
+
+    def _quorum_time_ms(self, time_of: Callable[[Progress], float]) -> float:
+        """Returns the latest time that a majority of the voters has reached."""
         now_ms = self._clock.now_ms()
-        ack_times = [
-            now_ms if voter == self.node else self._progress[voter].acked_ms
+        times = [
+            now_ms if voter == self.node else time_of(self._progress[voter])
             for voter in self.members.voters
         ]
-        ack_times.sort(reverse=True)
-        return ack_times[len(ack_times) // 2]
+        times.sort(reverse=True)
+        return times[len(times) // 2]
 
     def _lease_end_ms(self) -> float:
         return (
--- a/packages/testbed/src/clayfield/testbed/control_site.py
+++ b/packages/testbed/src/clayfield/testbed/control_site.py
@@ -36,6 +36,8 @@
 DELAY_MS = 1.0
 TICK_MS = 20.0
 STATUS_MS = 200.0
+KEEPALIVE_MS = 200.0
+KEEPALIVE_BYTES = 4
 HEARTBEAT_MS = 1500.0
 PORT = 7000
 
@@ -317,6 +319,7 @@
         """Limits the rate of every link between control nodes."""
         self._link_bytes_per_s = bytes_per_s
         self.links.clear()
+        self._send_keepalives()
 
     def leader(self) -> ControlNode | None:
         """Returns the leader whose state is current, if any."""
@@ -439,26 +442,59 @@
         self, address: str, node: ControlNode, to: str, message: Message
     ) -> None:
         def arrive() -> None:
-            receiver = self.nodes.get(box_of(to))
-            if receiver is None or receiver.node != to:
-                return
-            if self.nodes.get(address) is not node:
-                return
-            if self._is_partitioned(address, receiver):
-                return
-            receiver.on_message(node.node, message)
-            self._run_actions(box_of(to), receiver)
+            receiver = self._find_receiver(address, node, to)
+            if receiver:
+                receiver.on_message(node.node, message)
+                self._run_actions(box_of(to), receiver)
 
         def arrive_when_awake() -> None:
             self._when_awake(box_of(to), arrive)
 
+        def on_progress() -> None:
+            receiver = self._find_receiver(address, node, to)
+            if receiver and box_of(to) not in self._suspended:
+                receiver.on_data(node.node, is_in_message=True)
+
         if not self._link_bytes_per_s:
             self.call_later(DELAY_MS, arrive_when_awake)
             return
-        route = (address, box_of(to))
+        link = self._find_link(address, box_of(to))
+        size = len(encode_batch([message]))
+        link.send(size, arrive_when_awake, on_progress)
+
+    def _find_receiver(
+        self, address: str, node: ControlNode, to: str
+    ) -> ControlNode | None:
+        """Returns the receiver of a message, None if it does not arrive."""
+        receiver = self.nodes.get(box_of(to))
+        if receiver is None or receiver.node != to:
+            return None
+        if self.nodes.get(address) is not node:
+            return None
+        return None if self._is_partitioned(address, receiver) else receiver
+
+    def _find_link(self, address: str, other: str) -> SlowLink:
+        route = (address, other)
         if route not in self.links:
             self.links[route] = SlowLink(self, self._link_bytes_per_s, DELAY_MS)
-        self.links[route].send(len(encode_batch([message])), arrive_when_awake)
+        return self.links[route]
+
+    def _send_keepalives(self) -> None:
+        """Sends keepalives on all links between control nodes."""
+        for address, node in self.nodes.items():
+            for other in self.nodes.values():
+                if other is not node and address not in self._suspended:
+                    self._send_keepalive(address, node, other.node)
+        self.call_later(KEEPALIVE_MS, self._send_keepalives)
+
+    def _send_keepalive(self, address: str, node: ControlNode, to: str) -> None:
+        def arrive() -> None:
+            receiver = self._find_receiver(address, node, to)
+            if receiver:
+                receiver.on_data(node.node, is_in_message=False)
+
+        link = self._find_link(address, box_of(to))
+        link.send(KEEPALIVE_BYTES, arrive)
 
 
 def _greeting(node: ControlNode) -> NodeGreeting:
--- a/packages/testbed/src/clayfield/testbed/slow_link.py
+++ b/packages/testbed/src/clayfield/testbed/slow_link.py
@@ -5,6 +5,7 @@
 from clayfield.testbed.timeline import Timeline
 
 MS_PER_S = 1000.0
+PROGRESS_MS = 50.0
 
 
 class SlowLink:
@@ -38,16 +39,23 @@
         self._waiting_bytes = 0
         self._idle_at_ms = 0.0
 
-    def send(self, size: int, arrive: Callable[[], None]) -> None:
+    def send(
+        self,
+        size: int,
+        arrive: Callable[[], None],
+        on_progress: Callable[[], None] | None = None,
+    ) -> None:
         """Puts a message on the link.
 
         Args:
             size: number of its bytes.
             arrive: called when all of them have arrived.
+            on_progress: called at intervals while they arrive.
         """
         now_ms = self._timeline.clock.now_ms()
         transmission_ms = size / self._bytes_per_s * MS_PER_S
-        self._idle_at_ms = max(self._idle_at_ms, now_ms) + transmission_ms
+        start_ms = max(self._idle_at_ms, now_ms)
+        self._idle_at_ms = start_ms + transmission_ms
         self.sent_bytes += size
         self._waiting_bytes += size
         self.max_waiting_bytes = max(
@@ -56,6 +64,15 @@
 
         generation = self._generation
 
+        def report_progress() -> None:
+            if generation == self._generation:
+                on_progress()
+
+        reports = int(transmission_ms / PROGRESS_MS) if on_progress else 0
+        for number in range(1, reports + 1):
+            arrival_ms = start_ms + number * PROGRESS_MS + self._delay_ms
+            self._timeline.call_later(arrival_ms - now_ms, report_progress)
+
         def finish() -> None:
             if generation == self._generation:
                 self._waiting_bytes -= size
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -75,6 +75,30 @@
         assert link.max_waiting_bytes < 2 * DOCUMENT_BYTES
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("bytes_per_s", [300_000, 500_000, 1_000_000])
+def test_leader_is_kept_while_an_entry_takes_longer_than_the_election_timeout(
+    bytes_per_s, seed
+):
+    site = _site(seed)
+    term = site.leader().consensus.term
+    site.limit_links(bytes_per_s)
+    assert site.write_config(1, 1, DOCUMENT_BYTES)
+    site.run(1.2 * DOCUMENT_BYTES / bytes_per_s * 1000)
+    assert [n.state.version for n in site.nodes.values()] == [1] * 3
+    assert site.leader().consensus.term == term
+
+
+def test_leader_that_steps_down_is_replaced_though_its_process_lives():
+    site = _site()
+    site.limit_links(20_000_000)
+    former = site.leader()
+    former.consensus._become_follower(former.consensus.term, "")
+    site.run(SETTLE_MS)
+    assert site.leader()
+    assert site.leader().consensus.term > 2
+
+
 @pytest.mark.parametrize("bytes_per_s", [1_000_000, 5_000_000])
 def test_chunks_on_their_way_to_a_follower_are_not_sent_again(bytes_per_s):
     site = _site()
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -33,6 +33,9 @@
     def on_disconnected(self, node):
         pass
 
+    def on_data(self, node, is_in_message):
+        pass
+
     def on_messages(self, node, messages):
         pass
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -50,6 +50,7 @@
     def __init__(self):
         self.events = []
         self.messages = []
+        self.in_message = []
 
     def on_connected(self, greeting):
         self.events.append("connected")
@@ -60,6 +61,9 @@
     def on_disconnected(self, node):
         self.events.append("disconnected")
 
+    def on_data(self, node, is_in_message):
+        self.in_message.append(is_in_message)
+
     def on_messages(self, node, messages):
         self.messages += messages
 
@@ -109,6 +113,9 @@
         stream.dataReceived(data[start : start + step_bytes])
     assert not stream.transport.is_aborted
     assert node.listener.messages == [push]
+    # The bytes of the greeting come first, those of the last step at the end.
+    assert node.listener.in_message[-1] is False
+    assert all(node.listener.in_message[1:-1])
 
 
 def test_connection_that_is_silent_is_aborted_after_the_peer_timeout():
