Read large operator requests beside the event loop

The check of a configuration of 3.9 MB with 150,000 services took half a second in the event loop of the leader. No reply to a heartbeat was handled meanwhile, so its lease of 400 ms had lapsed when it came to write: it answered 503 each time, and a valid document was never taken.

Requests of over 64 KiB are read in a thread, two at a time. Protocols for operators keep no state, which their interface now asks for.

Test: test_large_configuration_is_in_force_in_time (real processes, 2 s from the 200 to both entry nodes) failed before for the document of many services with [503, 307, 307] and passes, five runs of five.

--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -7,7 +7,8 @@
 
 import random
 
-from twisted.internet import reactor, threads
+from twisted.internet import defer, reactor, threads
+from twisted.python.failure import Failure
 
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
@@ -31,6 +32,7 @@
     HeartbeatCall,
     HttpReply,
     LeaveCall,
+    OperatorCall,
     OperatorProtocol,
     ReadCall,
     RejectedHeartbeat,
@@ -49,6 +51,10 @@
 ROLE = "control"
 TICKS_PER_CHECK = 25
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+# Largest request that is read in the event loop.
+MAX_INLINE_BYTES = 64 * 1024
+# Largest number of threads that read requests; the store needs one, too.
+MAX_READERS = 2
 # Identity of the stores that form a new cluster. Fixed, so that each voter can
 # compute the names of the others; later stores use their creation time.
 FIRST_STORE_ID = 0
@@ -105,6 +111,7 @@
         self._metrics_server = MetricsServer(reactor, self._metrics)
         self._rejections = RepeatFilter(self._clock, LOG_INTERVAL_MS)
         self._resends = RepeatFilter(self._clock, RESEND_LOG_INTERVAL_MS)
+        self._readers = defer.DeferredSemaphore(MAX_READERS)
         self._pending_requests: dict[int, HttpRequest] = {}
         self._last_request_id = 0
         self._ticks = 0
@@ -179,7 +186,27 @@
     # Operators and workers.
 
     def _on_request(self, request: HttpRequest) -> None:
-        call = self._operators.read_call(request)
+        """Reads a request, a large one beside the event loop.
+
+        Checking a document may take longer than a leader's lease.
+        """
+        if len(request.body) <= MAX_INLINE_BYTES:
+            self._on_call(request, self._operators.read_call(request))
+            return
+        reading = self._readers.run(
+            threads.deferToThread, self._operators.read_call, request
+        )
+        reading.addCallback(lambda call: self._on_call(request, call))
+        reading.addErrback(
+            lambda failure: self._on_read_failed(request, failure)
+        )
+
+    def _on_read_failed(self, request: HttpRequest, failure: Failure) -> None:
+        """Answers a request whose reading or handling failed unexpectedly."""
+        self.run_guarded(failure.raiseException)
+        _reply(request, HttpReply(500))
+
+    def _on_call(self, request: HttpRequest, call: OperatorCall) -> None:
         match call:
             case HttpReply():
                 _reply(request, call)
--- a/packages/node/src/clayfield/node/interfaces.py
+++ b/packages/node/src/clayfield/node/interfaces.py
@@ -194,6 +194,8 @@
     def read_call(self, request: HttpRequest) -> OperatorCall:
         """Returns the decoded call of a request.
 
+        It may be called in several threads at once.
+
         Returns:
             The call, or the response if the request or the configuration in
             it is invalid.
