Give up the lease together with leadership

Cause: transfer_leadership asks a voter to start an election at once, which no pre-vote holds back, while the old leader kept its role and its lease.

Fix: the leader becomes a follower when it asks. If the voter doesn't take over, the next election begins after the election timeout, as for a lost leader.

--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -290,7 +290,7 @@
         return True
 
     def transfer_leadership(self) -> bool:
-        """Asks the voter with the smallest lag to start an election.
+        """Steps down and asks the voter with the smallest lag to take over.
 
         Returns:
             Whether a voter was asked; False if this node does not lead or no
@@ -303,6 +303,7 @@
         if self._progress[target].match_index < self.commit_index:
             return False
         self._send(target, TimeoutNow(self.group, self.term))
+        self._become_follower(self.term, "")
         return True
 
     def tick(self) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -94,10 +94,24 @@
     assert not leader.is_state_current
 
 
+def test_leader_that_gave_up_leadership_serves_no_read_under_its_old_lease():
+    site, leader = _settled_site()
+    address = box_of(leader.node)
+    assert site.transfer_leadership(address)
+    site.suspend(address)
+    site.run(150)
+    assert site.write_config(2, 2)
+    site.run(100)
+    assert (site.acknowledged_version, leader.state.version) == (2, 1)
+    site.resume(address)
+    assert not leader.is_state_current
+
+
 PLAYS = [
     ("partition",),
     ("silence", "kill"),
     ("suspend", "reset", "partition"),
+    ("silence", "transfer"),
     ("partition", "silence", "kill", "suspend", "reset", "lose_disk"),
 ]
 
