Merge leases that voters still grant

The last sign of life decides when a leader steps down, and answers on the present connection decide its lease; the time of the last answer of a majority is no longer needed by itself.

--- a/packages/state/src/clayfield/state/_replication.py
+++ b/packages/state/src/clayfield/state/_replication.py
@@ -6,10 +6,11 @@
 
 import collections
 
+from clayfield.state._elections import LONG_AGO_MS
+
 MAX_UNANSWERED_APPENDS = 8
 # Bytes of unanswered entries above which no further ones are sent.
 MAX_UNANSWERED_BYTES = 512 * 1024
-LONG_AGO_MS = -1e12
 
 
 class Progress:
@@ -19,7 +20,10 @@
         next_index: index of the next entry to send.
         match_index: highest index up to which the follower's log is known to
             agree with the leader's.
-        acked_ms: time at which the latest answered request was sent, in ms.
+        acked_ms: time at which the latest answered request was sent, in ms;
+            before that the time at which the leader began to send.
+        lease_from_ms: time from which the follower grants a lease, in ms; long
+            ago if it has answered no request on this connection.
         snapshot_index: index of the snapshot being sent, 0 for none.
         snapshot_offset: number of bytes of it that the follower has received.
         is_chunk_unanswered: whether the latest chunk of it is unanswered.
@@ -27,12 +31,14 @@
 
     __slots__ = (
         "_chunk_sent_ms",
+        "_disconnected_ms",
         "_received_ms",
         "_rewound_ms",
         "_unanswered",
         "_unanswered_bytes",
         "acked_ms",
         "is_chunk_unanswered",
+        "lease_from_ms",
         "match_index",
         "next_index",
         "snapshot_index",
@@ -43,6 +49,8 @@
         self.next_index = next_index
         self.match_index = 0
         self.acked_ms = now_ms
+        self.lease_from_ms = LONG_AGO_MS
+        self._disconnected_ms = LONG_AGO_MS
         self._received_ms = now_ms
         self.snapshot_index = 0
         self.snapshot_offset = 0
@@ -71,6 +79,24 @@
         if self._unanswered or self.is_chunk_unanswered:
             self._received_ms = now_ms
 
+    def on_ack(self, sent_ms: float) -> None:
+        """Records that a request was answered.
+
+        Args:
+            sent_ms: time at which the request was sent, in ms.
+        """
+        self.acked_ms = max(self.acked_ms, sent_ms)
+        if sent_ms > self._disconnected_ms:
+            self.lease_from_ms = max(self.lease_from_ms, sent_ms)
+
+    def on_disconnected(self, now_ms: float) -> None:
+        """Records that the connection to the follower ended.
+
+        The follower may vote for another leader at once.
+        """
+        self._disconnected_ms = now_ms
+        self.lease_from_ms = LONG_AGO_MS
+
     # Entries.
 
     @property
