Grant no vote to a delayed candidate while a leader is in contact

What callers saw: a read at a leader that was paused for a moment returned a version older than one acknowledged 0.05 s before; at worst 0.4 s, the length of a lease.

Cause: voters refused only a pre-vote while they were in contact with a leader. A candidate that had won the pre-vote and was then delayed, by its disk or a pause, got real votes after the old leader was back and held a lease again.

Evidence: test_delayed_request_for_a_vote_wins_no_election_during_a_lease failed before: "assert 2 == 1", version 2 acknowledged while the leader with version 1 had its lease.

Fix: a voter in contact with a leader refuses every vote. The exception is an election that the leader asked for, marked by VoteRequest.is_transfer; that leader has given up its lease before.

Result: the test passes, as do the tests of control nodes and the plays in tests/test_leases.py.

--- a/packages/state/src/clayfield/state/consensus.py
+++ b/packages/state/src/clayfield/state/consensus.py
@@ -348,7 +348,7 @@
                 self._on_snapshot_reply(source, message)
             case TimeoutNow(term=term):
                 if term == self.term and self.is_voter:
-                    self._start_election(is_prevote=False)
+                    self._start_election(is_prevote=False, is_transfer=True)
 
     def on_disconnected(self, box: str) -> None:
         """Handles the end of the connection to a box.
@@ -415,7 +415,9 @@
 
     # Elections.
 
-    def _start_election(self, is_prevote: bool) -> None:
+    def _start_election(
+        self, is_prevote: bool, is_transfer: bool = False
+    ) -> None:
         self._election.postpone()
         self.leader = ""
         self.role = Role.PRE_CANDIDATE if is_prevote else Role.CANDIDATE
@@ -429,6 +431,7 @@
             self._log.last_index,
             self._log.last_term,
             is_prevote,
+            is_transfer,
         )
         for voter in self.members.voters:
             if voter != self.node:
@@ -451,8 +454,10 @@
         own_last = (self._log.last_term, self._log.last_index)
         if (req.last_term, req.last_index) < own_last:
             return False
+        if self._has_recent_leader() and not req.is_transfer:
+            return False
         if req.is_prevote:
-            return req.term > self.term and not self._has_recent_leader()
+            return req.term > self.term
         return self._vote in ("", source)
 
     def _has_recent_leader(self) -> bool:
--- a/packages/wire/src/clayfield/wire/messages.py
+++ b/packages/wire/src/clayfield/wire/messages.py
@@ -61,6 +61,8 @@
         last_index: index of the candidate's last log entry.
         last_term: term of that entry.
         is_prevote: whether this is a pre-vote, which changes no state.
+        is_transfer: whether the leader has given up leadership to the
+            candidate, so that no lease is valid.
     """
 
     group: str
@@ -68,6 +70,7 @@
     last_index: int
     last_term: int
     is_prevote: bool
+    is_transfer: bool = False
 
 
 class VoteReply(Message, frozen=True, tag=True):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,6 +6,7 @@
 
 from clayfield.base import MonotonicClock
 from clayfield.base.clock import find_monotonic_clock
+from clayfield.state.consensus import Role
 from clayfield.state.membership import box_of
 from clayfield.testbed.control_plays import ControlPlay
 from clayfield.testbed.control_site import ControlSite
@@ -107,6 +108,31 @@
     assert not leader.is_state_current
 
 
+def test_delayed_request_for_a_vote_wins_no_election_during_a_lease():
+    site, leader = _settled_site()
+    address = box_of(leader.node)
+    site.persist_ms = 5.0
+    site.silence(address)
+    others = [node for node in site.nodes.values() if node is not leader]
+    while not any(n.consensus.role is Role.CANDIDATE for n in others):
+        site.run(1)
+    candidate = next(
+        box_of(n.node) for n in others if n.consensus.role is Role.CANDIDATE
+    )
+    site.suspend(candidate)
+    site.heal(address)
+    site.run(150)
+    assert leader.is_state_current
+    site.suspend(address)
+    site.resume(candidate)
+    site.run(50)
+    site.write_config_at(candidate, 2, 2)
+    site.run(50)
+    site.resume(address)
+    assert leader.is_state_current
+    assert site.acknowledged_version == leader.state.version == 1
+
+
 PLAYS = [
     ("partition",),
     ("silence", "kill"),
