--- a/packages/testbed/src/clayfield/testbed/control_site.py
+++ b/packages/testbed/src/clayfield/testbed/control_site.py
@@ -9,7 +9,6 @@
 import random
 from collections.abc import Callable
 
-from clayfield.base import Clock
 from clayfield.cluster import (
     Broadcast,
     ControlNode,
@@ -22,6 +21,8 @@
 )
 from clayfield.state import Record, RestoredState, replay
 from clayfield.state.membership import box_of, node_name
+from clayfield.testbed.machine_clock import MachineClock
+from clayfield.testbed.slow_entry import SlowEntry
 from clayfield.testbed.slow_link import SlowLink
 from clayfield.testbed.timeline import Timeline
 from clayfield.wire.cluster import (
@@ -35,7 +36,6 @@
 
 DELAY_MS = 1.0
 TICK_MS = 20.0
-STATUS_MS = 200.0
 KEEPALIVE_MS = 200.0
 KEEPALIVE_BYTES = 4
 PEER_TIMEOUT_MS = 1100.0
@@ -43,104 +43,6 @@
 PORT = 7000
 
 
-class SlowEntry:
-    """An entry node behind a slow link, which receives configurations.
-
-    Attributes:
-        link: link from all control nodes to it.
-        received: versions of the copies that it received, in order.
-        can_use: whether it can use the configurations.
-    """
-
-    def __init__(
-        self, site: "ControlSite", node: str, link: SlowLink, can_use: bool
-    ):
-        self._site = site
-        self._node = node
-        self.link = link
-        self.can_use = can_use
-        self.received: list[int] = []
-        self._received_from: dict[str, int] = {}
-
-    @property
-    def version(self) -> int:
-        """Highest version that the node has received."""
-        return max(self.received, default=0)
-
-    def lose_streams(self) -> None:
-        """Loses the streams in use, and all on the way, beside others."""
-        self.link.drop_waiting()
-        for control in self._site.nodes.values():
-            control.on_stream_lost(self._node)
-
-    def on_push(self, control: str, push: ConfigPush) -> None:
-        """Handles a copy of the configuration from a control node."""
-        self.received.append(push.version)
-        self._received_from[control] = push.version
-        self._report()
-
-    def report_regularly(self) -> None:
-        """Reports the status now and at each interval."""
-        self._report()
-        self._site.call_later(STATUS_MS, self.report_regularly)
-
-    def _report(self) -> None:
-        version = self.version if self.can_use else 0
-        received_from = dict(self._received_from)
-
-        def arrive() -> None:
-            for control in self._site.nodes.values():
-                received = received_from.get(control.node, 0)
-                status = EntryStatus(
-                    version, 0, False, received_version=received
-                )
-                control.on_message(self._node, status)
-
-        self._site.call_later(DELAY_MS, arrive)
-
-
-class MachineClock(Clock):
-    """The clock of a machine that can be suspended.
-
-    Attributes:
-        counts_suspension: whether the clock goes on during a suspension.
-    """
-
-    __slots__ = (
-        "_clock",
-        "_stood_still_ms",
-        "_suspended_ms",
-        "counts_suspension",
-    )
-
-    def __init__(self, clock: Clock, counts_suspension: bool):
-        self.counts_suspension = counts_suspension
-        self._clock = clock
-        self._stood_still_ms = 0.0
-        self._suspended_ms: float | None = None
-
-    def now_ms(self) -> float:
-        """Returns the time of the shared clock, less what was not counted."""
-        now_ms = self._clock.now_ms()
-        if self._suspended_ms is not None and not self.counts_suspension:
-            now_ms = self._suspended_ms
-        return now_ms - self._stood_still_ms
-
-    def wall_ms(self) -> float:
-        """Returns the wall-clock time of the shared clock, in ms."""
-        return self._clock.wall_ms()
-
-    def suspend(self) -> None:
-        """Begins a suspension."""
-        self._suspended_ms = self._clock.now_ms()
-
-    def resume(self) -> None:
-        """Ends a suspension."""
-        if not self.counts_suspension:
-            self._stood_still_ms += self._clock.now_ms() - self._suspended_ms
-        self._suspended_ms = None
-
-
 class ControlSite(Timeline):
     """Control nodes, their disks and the links between them.
 
@@ -343,7 +245,7 @@
     ) -> SlowEntry:
         """Connects an entry node whose link to it has a limited rate."""
         link = SlowLink(self, bytes_per_s, DELAY_MS)
-        slow_entry = SlowEntry(self, entry, link, can_use)
+        slow_entry = SlowEntry(self, self.nodes, entry, link, can_use)
         self._slow_entries[entry] = slow_entry
         self.add_entry_node(entry, hall)
         slow_entry.report_regularly()
