Keep what was received from a control node beyond a connection to it

An entry node forgot which version a control node had delivered when a stream to it ended. If the control node had noticed the end first, and had sent its version on another stream, the entry node then reported 0 received: the copy counted as still on its way, and no later version was sent until that connection ended too.

The versions are kept by the name of the control node, which changes with its disk.

--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -103,6 +103,8 @@
         self._min_submit_epoch = 0
         self._actions: list[EntryAction] = []
         self._next_status_ms = 0.0
+        # Kept beyond a connection: the control node may notice its end later,
+        # or earlier, than this node does.
         self._received_versions: dict[str, int] = {}
         self._started_ms = clock.now_ms()
         self._workers_sent_to = ("", 0)
@@ -226,7 +228,6 @@
         """Handles the loss of the connection to a node."""
         self._role.update_reachability(self._open_nodes.values())
         self._open_nodes.pop(node, None)
-        self._received_versions.pop(node, None)
         if node == self._workers_sent_to[0]:
             self._workers_sent_to = ("", 0)
         self._relay.on_disconnected(node)
