--- a/packages/state/src/clayfield/state/_snapshots.py
+++ b/packages/state/src/clayfield/state/_snapshots.py
@@ -5,6 +5,8 @@
 from clayfield.wire.messages import SnapshotChunk
 
 CHUNK_BYTES = 256 * 1024
+# Term of the leader and index of a snapshot, for none.
+NO_SNAPSHOT = (0, 0)
 
 
 def next_chunk(
@@ -49,10 +51,10 @@
 class IncomingSnapshot:
     """A snapshot that a follower has partly received."""
 
-    __slots__ = ("_data", "_index")
+    __slots__ = ("_data", "_source")
 
     def __init__(self) -> None:
-        self._index = 0
+        self._source = NO_SNAPSHOT
         self._data = bytearray()
 
     @property
@@ -62,19 +64,21 @@
 
     def clear(self) -> None:
         """Discards the data received so far."""
-        self._index = 0
+        self._source = NO_SNAPSHOT
         self._data = bytearray()
 
     def add_chunk(self, chunk: SnapshotChunk) -> bytes | None:
         """Adds a chunk if it is the next one of its snapshot.
 
-        A chunk of another snapshot replaces the data received so far.
+        A chunk of another snapshot replaces the data received so far. The
+        snapshots that two leaders take at one index need not be the same bytes.
 
         Returns:
             The data of the whole snapshot after its last chunk, else None.
         """
-        if self._index != chunk.index:
-            self._index = chunk.index
+        source = (chunk.term, chunk.index)
+        if self._source != source:
+            self._source = source
             self._data = bytearray()
         if chunk.offset != len(self._data):
             return None
