Abort a connection that a box made to itself

What operators saw: a box that was down could not start again, as its port for peers was in use. The sending end took its own frames for acknowledgements, so the stream counted as open and kept the port for as long as messages were sent.

Evidence: test_connection_of_a_box_to_itself_does_not_count_as_its_peer failed before in the row with two equal ends (not aborted, greeting sent); the row with a peer passed before and after.

The sending end compares the two addresses when the connection opens and aborts it, which frees the port at once, and logs SELF_CONNECTED. tests/test_processes.py passes as before.

--- a/packages/daemon/src/clayfield/daemon/peers.py
+++ b/packages/daemon/src/clayfield/daemon/peers.py
@@ -55,7 +55,16 @@
         self._link = link
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
-        """Sends the greeting and reports the open stream to the link."""
+        """Sends the greeting and reports the open stream to the link.
+
+        A connection of this box to itself is aborted: the system may take the
+        port of a peer that is down as the local port, and the peer could not
+        listen there again.
+        """
+        if self.transport.getHost() == self.transport.getPeer():
+            self._link.on_self_connected()
+            self.transport.abortConnection()
+            return
         self.transport.setTcpNoDelay(True)
         self.sendString(encode_greeting(self._link.greeting))
         self._link.on_open(self)
@@ -87,6 +96,7 @@
         self.greeting = greeting
         self._reactor = reactor
         self._peer = peer
+        self._address = address_text
         host, port = parse_address(address_text)
         endpoint = TCP4ClientEndpoint(
             reactor, host, port, timeout=CONNECT_TIMEOUT_S
@@ -141,6 +151,10 @@
         self._retry_delay_s = MIN_RETRY_DELAY_S
         emit(Event.PEER_CONNECTED, peer=self._peer)
 
+    def on_self_connected(self) -> None:
+        """Logs a connection that reached this box instead of the peer."""
+        emit(Event.SELF_CONNECTED, address=self._address)
+
     def on_ack(self) -> None:
         """Records the time of an acknowledgement."""
         self._acked_s = self._reactor.seconds()
