Acknowledge a large frame between boxes while it arrives

What callers saw: nothing that a box sends behind a large frame arrives over a slow link. The sender of a stream aborts it after 2.5 s without an acknowledgement, and the receiver acknowledged whole frames only; so a frame of 1 MB over less than 0.4 MB/s was broken off and sent again with each new stream.

The receiver acknowledges at the same intervals as before whatever bytes arrive from an identified peer. A broken path is noticed as before, as no bytes arrive on it.

Evidence: test_frame_that_takes_longer_than_the_ack_timeout_is_acknowledged failed before in both rows, 100 and 300 kB/s: no acknowledgement for 10 and 3.3 s. It passes, as does tests/test_processes.py, with real boxes.

--- a/packages/daemon/src/clayfield/daemon/peers.py
+++ b/packages/daemon/src/clayfield/daemon/peers.py
@@ -206,6 +206,18 @@
         """Disables Nagle's algorithm, which would delay acknowledgements."""
         self.transport.setTcpNoDelay(True)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handles received bytes, and acknowledges them at intervals.
+
+        A large frame may take longer to arrive than the sender waits for an
+        acknowledgement, so a part of a frame counts.
+        """
+        super().dataReceived(data)
+        now_s = self._peers.reactor.seconds()
+        if self._node and now_s - self._acked_s >= ACK_INTERVAL_S:
+            self._acked_s = now_s
+            self.sendString(ACK)
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handles a frame; an invalid one closes the stream."""
         try:
@@ -216,11 +228,6 @@
         except ClayfieldError as exc:
             emit(Event.FRAME_REFUSED, peer=self._box, error=str(exc))
             self.transport.abortConnection()
-            return
-        now_s = self._peers.reactor.seconds()
-        if now_s - self._acked_s >= ACK_INTERVAL_S:
-            self._acked_s = now_s
-            self.sendString(ACK)
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Reports the closed stream of a peer."""
