Send requests to the job store again only when they were lost

What callers saw: over a slow link to the leader, or with many stored jobs, kept jobs wait after a change of holder until their time is over, and accepted ones are stored late. A new holder asked for the stored jobs again every 400 ms and dropped what had arrived of the reply before, so a reply that takes longer was never complete. A write of up to 1 MB was sent again every 400 ms, each copy behind the one before.

A stream keeps the order of messages. The leader's reply to a status that was sent after the request shows that the request, and what the leader sent for it, has arrived or is lost; until then nothing is sent again. A change of the leader still sends at once.

A lost request is sent again with the first reply to a status after 400 ms, as statuses go out every 200 ms.

--- a/packages/pool/src/clayfield/pool/job_store_client.py
+++ b/packages/pool/src/clayfield/pool/job_store_client.py
@@ -29,8 +29,9 @@
 
 # How long authority lasts, from the sending of the confirmed status message.
 AUTHORITY_MS = 1500.0
-# After this time a request without a reply is sent again.
+# Least time after which a request without a reply counts as lost.
 RESEND_MS = 400.0
+NEVER_MS = -1e12
 # Above this size of a write, further changes go into the next one. A write must
 # fit one message, also if each of its jobs is as large as a caller may send.
 MAX_WRITE_BYTES = 1024 * 1024
@@ -93,7 +94,7 @@
         self.actions: list[SendToNode] = []
         self._leader = ""
         self.confirmed_ms = -AUTHORITY_MS
-        self._load_sent_ms = -RESEND_MS
+        self._load_sent_ms = NEVER_MS
         self._load_request = epoch * REQUESTS_PER_EPOCH
         self._loaded_parts: list[JobsLoaded] = []
         self._unsent: list[JobChangeRecord] = []
@@ -158,7 +159,7 @@
         self.confirmed_ms = max(self.confirmed_ms, lease.sent_ms)
         if node != self._leader:
             self._leader = node
-            self._load_sent_ms = -RESEND_MS
+            self._load_sent_ms = NEVER_MS
             self._mark_unsent()
         self._send_load()
 
@@ -212,9 +213,21 @@
         batch = self._in_flight
         if batch is None or not self._leader:
             return
-        now_ms = self._clock.now_ms()
-        if batch.sent_ms is None or now_ms - batch.sent_ms >= RESEND_MS:
-            self._send(batch, now_ms)
+        if batch.sent_ms is None or self._is_lost(batch.sent_ms):
+            self._send(batch, self._clock.now_ms())
+
+    def _is_lost(self, sent_ms: float) -> bool:
+        """Returns whether a request without a reply is to be sent again.
+
+        A stream keeps the order of messages, so the request has arrived or is
+        lost once the leader has replied to a later status. Until then a copy
+        would wait behind it.
+
+        Args:
+            sent_ms: time at which the request was sent, in ms.
+        """
+        elapsed_ms = self._clock.now_ms() - sent_ms
+        return elapsed_ms >= RESEND_MS and self.confirmed_ms > sent_ms
 
     def _take_next_changes(self) -> list[JobChangeRecord]:
         """Returns the oldest unsent changes, one or as many as fit a write."""
@@ -242,10 +255,9 @@
 
     def _send_load(self) -> None:
         """Requests the stored jobs, unless they are loaded or requested."""
-        now_ms = self._clock.now_ms()
-        if self.is_loaded or now_ms - self._load_sent_ms < RESEND_MS:
+        if self.is_loaded or not self._is_lost(self._load_sent_ms):
             return
-        self._load_sent_ms = now_ms
+        self._load_sent_ms = self._clock.now_ms()
         self._load_request += 1
         self._loaded_parts = []
         load = LoadJobs(self.epoch, self._load_request)
