Propose a configuration once that an operator sends again

What operators would see: with slow disks or links, changes in quick succession are acknowledged later than need be (by reading; only the log was measured). An operator that gets no clear answer within a second sends the same bytes again; the leader appended them again each time, so that up to 4 MB for each attempt went to every disk and follower before the next change.

A write that is pending in the same term with the same version and bytes is in the leader's log already; the further request waits for that entry. Other content under the version is proposed as before, and the first in the log is kept.

Evidence: test_write_that_is_sent_again_before_it_is_stored_enters_the_log_once failed before in both rows (four entries for four requests, disks that take 450 and 700 ms) and passes. The test of other content passed before and after. The rest of tests/test_cluster.py passes.

--- a/packages/cluster/src/clayfield/cluster/control.py
+++ b/packages/cluster/src/clayfield/cluster/control.py
@@ -88,12 +88,24 @@
 class _PendingWrite:
     """An operator's write that is not yet committed."""
 
-    __slots__ = ("since_ms", "version")
+    __slots__ = ("document", "since_ms", "term", "version")
 
-    def __init__(self, version: int, since_ms: float):
+    def __init__(
+        self, version: int, document: bytes, term: int, since_ms: float
+    ):
         self.version = version
+        self.document = document
+        self.term = term
         self.since_ms = since_ms
 
+    def is_same(self, other: "_PendingWrite") -> bool:
+        """Returns whether another write proposes the same in the same term."""
+        return (
+            self.term == other.term
+            and self.version == other.version
+            and self.document == other.document
+        )
+
 
 class ControlNode:
     """The logic of one control node.
@@ -308,10 +320,16 @@
         """
         if not self.is_state_current:
             return False
-        write = _PendingWrite(version, self._clock.now_ms())
+        write = _PendingWrite(
+            version, document, self.consensus.term, self._clock.now_ms()
+        )
         if version <= self.state.version:
             self._finish_write(request, write, WriteOutcome.IN_FORCE)
             return True
+        if any(write.is_same(other) for other in self._pending_writes.values()):
+            # The operator sent it again; it is in the log of this term once.
+            self._pending_writes[request] = write
+            return True
         command = encode_command(SetConfig(version, document))
         position = self.consensus.propose(command)
         if position is None:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -40,6 +40,36 @@
         assert (node.state.version, node.state.document) == (5, b"document-5")
 
 
+@pytest.mark.parametrize("persist_ms", [450.0, 700.0])
+def test_write_that_is_sent_again_before_it_is_stored_enters_the_log_once(
+    persist_ms,
+):
+    site = _site()
+    site.persist_ms = persist_ms
+    leader = site.leader()
+    last_index = leader.consensus.last_index
+    for request in range(1, 5):
+        assert site.write_config(request, 1, DOCUMENT_BYTES)
+        site.run(100)
+    assert leader.consensus.last_index == last_index + 1
+    site.run(persist_ms + 500)
+    outcomes = [site.write_outcomes.get(request) for request in range(1, 5)]
+    assert outcomes == [WriteOutcome.IN_FORCE] * 4
+
+
+def test_write_of_other_content_under_a_version_that_is_not_stored_is_kept():
+    site = _site()
+    site.persist_ms = 500.0
+    leader = site.leader()
+    last_index = leader.consensus.last_index
+    assert site.write_config(1, 1)
+    assert site.write_config(2, 1, padding=10)
+    assert leader.consensus.last_index == last_index + 2
+    site.run(1500)
+    assert site.write_outcomes[2] is WriteOutcome.IN_FORCE
+    assert leader.state.document == b"document-1"
+
+
 @pytest.mark.parametrize("bytes_per_s", [4_000_000, 10_000_000])
 @pytest.mark.parametrize("interval_ms", [50, 300])
 def test_newest_configuration_does_not_wait_behind_copies_of_older_ones(
