Propose a write of kept jobs once that the holder sends again

What callers would see: with slow disks, accepted jobs are stored later than need be (by reading; only the log was measured). A holder whose write is not confirmed after 400 ms sends it again, and the leader appended it again each time, up to 1 MB, for every disk and follower to store before the next write.

A write that is pending under the same epoch and sequence is in the leader's log already; pending writes end with the leader's term, and the holder then sends again.

Evidence: test_write_that_is_in_the_log_already_is_not_proposed_again, row (1, 1, not applied) failed before with two proposals; the other three rows, in which it is to be proposed, passed before and after. test_kept, test_bounds and test_late_replies pass.

--- a/packages/cluster/src/clayfield/cluster/job_store_leader.py
+++ b/packages/cluster/src/clayfield/cluster/job_store_leader.py
@@ -109,14 +109,21 @@
                 return parts
 
     def on_write(self, node: str, write: WriteJobs) -> None:
-        """Proposes a holder's write."""
-        if not self._is_holder(node, write.epoch):
+        """Proposes a holder's write, unless it is in the log already."""
+        if not self._is_holder(node, write.epoch) or self._is_pending(write):
             return
         command = encode_command(SetJobs(write.epoch, write.changes))
         position = self._consensus.propose(command)
         if position:
             self._pending_writes[position] = _PendingWrite(node, write)
 
+    def _is_pending(self, write: WriteJobs) -> bool:
+        return any(
+            pending.write.epoch == write.epoch
+            and pending.write.sequence == write.sequence
+            for pending in self._pending_writes.values()
+        )
+
     def _is_holder(self, node: str, epoch: int) -> bool:
         grant = self._state.grant
         return node == grant.holder and epoch == grant.epoch
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,12 +3,15 @@
 import pytest
 
 from clayfield.base import ManualClock
+from clayfield.cluster import ControlState
+from clayfield.cluster.job_store_leader import JobStoreLeader
 from clayfield.pool.commands import SendToNode
 from clayfield.pool.job_store_client import (
     RESEND_MS,
     JobChangeRecord,
     JobStoreClient,
 )
+from clayfield.wire.cluster import Grant
 from clayfield.wire.job_store import (
     EndTask,
     HolderLease,
@@ -91,3 +94,42 @@
     holder.client.on_written(JobsWritten(1, write.sequence))
     holder.run(2 * RESEND_MS, is_answered=True)
     assert len(holder.sent(LoadJobs)) == len(holder.sent(WriteJobs)) == 1
+
+
+class _Log:
+    """Stands in for the leader's replica of the log."""
+
+    def __init__(self):
+        self.commands = []
+
+    def propose(self, command):
+        self.commands.append(command)
+        return len(self.commands), 1
+
+
+def _write(epoch, sequence):
+    return WriteJobs(epoch, sequence, (EndTask("job", 0, 0, 1, True),))
+
+
+@pytest.mark.parametrize(
+    ("epoch", "sequence", "is_applied", "expected"),
+    [
+        (1, 1, False, 1),
+        (1, 1, True, 2),
+        (1, 2, False, 2),
+        (2, 1, False, 2),
+    ],
+)
+def test_write_that_is_in_the_log_already_is_not_proposed_again(
+    epoch, sequence, is_applied, expected
+):
+    log = _Log()
+    state = ControlState(ManualClock())
+    state.grant = Grant(1, "holder")
+    leader = JobStoreLeader(ManualClock(), log, state, 1000.0)
+    leader.on_write("holder", _write(1, 1))
+    if is_applied:
+        assert leader.on_applied([(1, 1, True)])
+    state.grant = Grant(epoch, "holder")
+    leader.on_write("holder", _write(epoch, sequence))
+    assert len(log.commands) == expected
