Record in the soak which jobs got no answer, and fail if no node had a fault

The soak now prints for each of them the node, the time that it waited, and for how long that node and all nodes had been without a fault; without any at any node for 3 s before and until the end it is a violation.

--- a/packages/testbed/src/clayfield/testbed/config_soak.py
+++ b/packages/testbed/src/clayfield/testbed/config_soak.py
@@ -42,6 +42,7 @@
     Attributes:
         seed: seed of the run.
         violations: descriptions of the violations.
+        unanswered: descriptions of the jobs without an answer.
         faults: number of faults, by name.
         counts: number of calls, by kind and status.
         checked: number of checks of versions that were due at entry nodes.
@@ -51,6 +52,7 @@
 
     seed: int
     violations: list[str]
+    unanswered: list[str]
     faults: dict[str, int]
     counts: dict[str, int]
     checked: int
@@ -104,6 +106,7 @@
         return SoakResult(
             self._seed,
             self._history.violations,
+            self._history.unanswered,
             self._faults,
             self._history.counts,
             sum(checker.checked for checker in self._checkers),
--- a/packages/testbed/src/clayfield/testbed/soak_checks.py
+++ b/packages/testbed/src/clayfield/testbed/soak_checks.py
@@ -120,6 +120,8 @@
 
     def submit(self, version: int) -> int:
         """Submits a job to the queue of one version; returns the status."""
+        sent_s = time.monotonic()
+        life = self._node.life
         self._jobs += 1
         key = f"{self._node.name}-{self._life}-{self._jobs}"
         path = f"/v1/queues/{marker(version)}/jobs/{key}"
@@ -131,10 +133,32 @@
             JOB_TIMEOUT_S,
         )
         self._history.count(f"job {status}")
+        if not status:
+            self._on_unanswered(key, sent_s, life)
         if status == NOT_FOUND and self._read_version() == version:
             self._report("added route runs no job", version, version)
         return status
 
+    def _on_unanswered(self, key: str, sent_s: float, life: int) -> None:
+        """Records a job without an answer; a violation if no node had a fault.
+
+        Args:
+            key: the job's key.
+            sent_s: time at which it was sent.
+            life: the node's number of starts at that time.
+        """
+        now_s = time.monotonic()
+        calm_s = min(node.calm_s(now_s) for node in self._site.nodes)
+        text = (
+            f"{self._node.name}: job {key} got no answer in"
+            f" {now_s - sent_s:.2f} s; the node was calm for"
+            f" {self._node.calm_s(now_s):.1f} s, all nodes for {calm_s:.1f} s,"
+            f" {self._node.life - life} starts since"
+        )
+        self._history.note_unanswered(text)
+        if calm_s >= CONTACT_S + now_s - sent_s:
+            self._history.violate(text)
+
     def _report(self, what: str, expected: int, version: int) -> None:
         lines = _summarize(read_events(self._node.log, "CONFIG_")[-6:])
         self._history.violate(
--- a/packages/testbed/src/clayfield/testbed/soak_operator.py
+++ b/packages/testbed/src/clayfield/testbed/soak_operator.py
@@ -79,6 +79,7 @@
         acked_s: time of the first acknowledgement, by version.
         invalid: versions under which only invalid content was sent.
         violations: descriptions of the violations found.
+        unanswered: descriptions of the jobs without an answer.
         counts: number of calls by kind and status.
     """
 
@@ -87,6 +88,7 @@
         self.acked_s: dict[int, float] = {}
         self.invalid: set[int] = set()
         self.violations: list[str] = []
+        self.unanswered: list[str] = []
         self.counts: dict[str, int] = {}
         self._started_s = started_s
         self._last_version = 0
@@ -116,9 +118,16 @@
 
     def violate(self, text: str) -> None:
         """Records a violation with its time since the start."""
+        self._add(self.violations, text)
+
+    def note_unanswered(self, text: str) -> None:
+        """Records a job without an answer, with its time since the start."""
+        self._add(self.unanswered, text)
+
+    def _add(self, lines: list[str], text: str) -> None:
         elapsed_s = time.monotonic() - self._started_s
         with self._lock:
-            self.violations.append(f"{elapsed_s:.2f} s: {text}")
+            lines.append(f"{elapsed_s:.2f} s: {text}")
 
 
 class Operator(threading.Thread):
