--- /dev/null
+++ b/review/standins2/play.py
@@ -0,0 +1,122 @@
+"""Runs a case: starts the deployment, plays it, checks it, ends it."""
+
+import asyncio
+import os
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+
+from standins2.client import Clients
+from standins2.deployment import ZONES, Deployment
+from standins2.record import Record
+from standins2.worker import Worker
+
+HOST = "jobs.example"
+EXIT_HELD = 0
+EXIT_BROKEN = 1
+EXIT_NOT_RUN = 2
+WORKER_CPU = 16_000
+
+
+class CaseError(Exception):
+    """The case could not be run."""
+
+
+class Play:
+    """What a case has at hand.
+
+    Attributes:
+        record: the record of the run.
+        deployment: the processes of the system.
+        clients: the clients.
+        workers: the workers.
+        has_trouble: whether the disruption is played.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        record: Record,
+        worker_labels: list[list[str]],
+        entries: int,
+    ):
+        self.record = record
+        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.deployment = Deployment(folder, record, entries)
+        self.clients = Clients(self.deployment, HOST, record)
+        self.workers = [
+            Worker(
+                (self.deployment.take_ip(), self.deployment.worker_port),
+                ZONES[number % len(ZONES)],
+                labels,
+                WORKER_CPU,
+                self.deployment.control_addresses,
+                record,
+            )
+            for number, labels in enumerate(worker_labels)
+        ]
+
+    async def begin(self, config: dict[str, object]) -> None:
+        """Starts everything and waits until it serves.
+
+        Raises:
+            CaseError: it does not serve in time.
+        """
+        self.deployment.check_ports()
+        self.deployment.start()
+        for worker in self.workers:
+            await worker.start()
+        if not await self.deployment.put_config(config):
+            raise CaseError("no acknowledgement of the configuration")
+        if not await self.deployment.wait_until_ready():
+            raise CaseError("an entry process is not ready")
+        # Heartbeats of all workers arrive, and the machines are in touch.
+        await asyncio.sleep(4.0)
+
+
+def run_case(
+    case_file: str,
+    config: dict[str, object],
+    play_case: Callable[[Play], Awaitable[list[str]]],
+    worker_labels: list[list[str]],
+    entries: int = 3,
+) -> None:
+    """Plays a case and exits with its result.
+
+    Args:
+        case_file: path of the case's program; the record goes beside it.
+        config: the first configuration.
+        play_case: plays the case and returns what broke the rule.
+        worker_labels: the labels of each worker.
+        entries: number of entry processes.
+    """
+    record = Record(pathlib.Path(case_file).parent / "record.txt")
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="clayfield-review-"))
+    code = EXIT_NOT_RUN
+    play = Play(folder, record, worker_labels, entries)
+    try:
+        breaks = asyncio.run(_play(play, config, play_case))
+        for text in breaks:
+            record.add("BROKEN", text)
+        code = EXIT_BROKEN if breaks else EXIT_HELD
+        record.add("result", f"{len(breaks)} breaks")
+        print(f"{len(breaks)} breaks")
+    except (CaseError, OSError) as exc:
+        record.add("result", f"could not run: {exc}")
+        print(f"could not run: {exc}")
+    finally:
+        play.deployment.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+        record.write()
+    sys.exit(code)
+
+
+async def _play(
+    play: Play,
+    config: dict[str, object],
+    play_case: Callable[[Play], Awaitable[list[str]]],
+) -> list[str]:
+    await play.begin(config)
+    return await play_case(play)
