--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -196,6 +196,7 @@
         for machine in (*self.controls, *self.entries):
             for port in ports:
                 with socket.socket() as sock:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     sock.bind((machine.ip, port))
 
     def start(self) -> None:
