Show that a few long tasks close the whole service

Cause: a worker gets no task while a run on it counts as hung, however long that lasts and whatever room it has, and a hung run is moved only once.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case: jobs that no worker has begun are not counted as waiting."""
+"""Case: a few long tasks keep every worker from taking any other task."""
 
 import asyncio
 import json
@@ -8,75 +8,72 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins2.client import Job, make_config
-from standins2.messages import call
-from standins2.play import HOST, Play, run_case
+from standins2.play import HOST, WORKER_CPU, Play, run_case
 
 PATH = "/orders/"
 CONFIG = make_config({"orders": (PATH, 0, 3)}, HOST)
-# One of eight workers has the label, which is within the share of `srv_grey`.
-LABELS = [["b", "r0"]] + [["a", f"r{n % 3}"] for n in range(7)]
-JOBS = 10
-SHED_S = 6.5
-# MIXED counts the jobs that were accepted visible_ms + 2 s before.
-COUNTED_MS = 5000.0
-ASK_AT_S = 5.6
+LABELS = [["a", f"r{n % 3}"] for n in range(8)]
+JOBS = 40
+LONG_JOBS = 2
+WIDTH = 4
+WORK_MS = 900
+LONG_FACTOR = 20
+LONG_CPU = 9000
+LASTING_CPU = 500
+LASTING_AT_S = 14.0
+# LOST: the 3 s, and the 4 s before them, are calm.
+WATCH_S = 7.5
+SAMPLE_S = 0.1
+FOREVER_MS = 1e9
 
 
-def _make_job() -> Job:
-    work = {"cpu": 1000, "ms": 200, "how": "done"}
+def _make_job(factor: int) -> Job:
+    work = {"cpu": LONG_CPU, "ms": WORK_MS * factor, "how": "done"}
     step = {
-        "count": 1,
-        "cpu": 1000,
+        "count": WIDTH,
+        "cpu": LONG_CPU,
         "mem_mb": 64,
-        "estimate_ms": 200,
-        "requires": "b",
+        "estimate_ms": WORK_MS,
     }
     return Job(PATH, {"spec": json.dumps(work), "steps": [step]})
 
 
-async def _play(play: Play) -> list[str]:
-    play.workers[0].is_shedding = play.has_trouble
-    play.record.add("SHED", f"{play.workers[0].name} {play.has_trouble}")
-    jobs = [_make_job() for _ in range(JOBS)]
-    await asyncio.gather(*(play.clients.submit(job) for job in jobs))
-    await asyncio.sleep(ASK_AT_S)
-    breaks = await _check(play, jobs)
-    await asyncio.sleep(SHED_S - ASK_AT_S)
-    play.workers[0].is_shedding = False
-    play.record.add("SHED", "over")
-    await asyncio.sleep(4.0)
-    for job in jobs:
-        await play.clients.read_state(job)
-    return breaks
+def _make_lasting() -> Job:
+    work = {"cpu": LASTING_CPU, "ms": FOREVER_MS, "how": "done"}
+    step = {"count": 1, "cpu": LASTING_CPU, "mem_mb": 64}
+    content = {"spec": json.dumps(work), "steps": [step], "long_running": True}
+    return Job(PATH, content)
 
 
-async def _check(play: Play, jobs: list[Job]) -> list[str]:
-    """Asks each entry process for the number of waiting jobs."""
-    breaks: list[str] = []
-    for machine in play.deployment.entries:
-        begun = {
-            run.task.partition(".")[0]
+async def _play(play: Play) -> list[str]:
+    for _ in range(JOBS - LONG_JOBS):
+        await play.clients.submit(_make_job(1))
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2.0)
+    factor = LONG_FACTOR if play.has_trouble else 1
+    long_jobs = [_make_job(factor) for _ in range(LONG_JOBS)]
+    play.record.add("LONG", f"x {factor}")
+    await asyncio.gather(*(play.clients.submit(job) for job in long_jobs))
+    await asyncio.sleep(LASTING_AT_S)
+    lasting = _make_lasting()
+    await play.clients.submit(lasting)
+    begin_ms = play.record.now_ms()
+    while play.record.now_ms() - begin_ms < WATCH_S * 1000.0:
+        runs = [
+            run
             for worker in play.workers
             for run in worker.runs
-        }
-        now_ms = play.record.now_ms()
-        waiting = [
-            job
-            for job in jobs
-            if job.is_accepted
-            and now_ms - job.accepted_ms > COUNTED_MS
-            and job.key not in begun
+            if run.task.startswith(lasting.key)
+        ]
+        free = [
+            worker
+            for worker in play.workers
+            if WORKER_CPU - worker.used_cpu >= 2 * LASTING_CPU
         ]
-        address = (machine.ip, play.deployment.front_port)
-        status, body, _ = await call(
-            address, "GET", PATH, headers={"Host": HOST}
-        )
-        count = json.loads(body)["waiting"] if status == 200 else None
-        text = f"{machine.name} gives {count} of {len(waiting)} as waiting"
-        play.record.add("waiting", text)
-        if count is not None and count < len(waiting) / 2:
-            breaks.append(text)
-    return breaks
+        if runs or len(free) < 2:
+            return []
+        await asyncio.sleep(SAMPLE_S)
+    return [f"{lasting.key} had nothing running for {WATCH_S} s"]
 
 
 if __name__ == "__main__":
