Show that a long task without an estimate closes its worker

Cause: a worker gets no task while a run on it counts as hung; a run without an estimate does after 62 ms, for as long as it goes on, and is moved only once. This form of the case needs no job that takes longer than its estimate.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case: a few long tasks keep every worker from taking any other task."""
+"""Case: a long task without an estimate closes the worker that it is on."""
 
 import asyncio
 import json
@@ -8,73 +8,90 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins2.client import Job, make_config
-from standins2.play import HOST, WORKER_CPU, Play, run_case
+from standins2.play import HOST, WORKER_CPU, CaseError, Play, run_case
+from standins2.worker import Worker
 
 PATH = "/orders/"
 CONFIG = make_config({"orders": (PATH, 0, 3)}, HOST)
-LABELS = [["a", f"r{n % 3}"] for n in range(8)]
-JOBS = 40
-LONG_JOBS = 2
-WIDTH = 4
-WORK_MS = 900
-LONG_FACTOR = 20
-LONG_CPU = 9000
-LASTING_CPU = 500
-LASTING_AT_S = 14.0
-# LOST: the 3 s, and the 4 s before them, are calm.
-WATCH_S = 7.5
+WORKERS = 8
+LONG_JOBS = 7
+LONG_CPU = 500
+LONG_MS = 40_000
+LONG_GAP_S = 0.5
+USUAL_JOBS = 10
+USUAL_CPU = 1000
+USUAL_GAP_S = 0.25
+FINISH_S = 14.0
+WATCH_S = 3.0
 SAMPLE_S = 0.1
-FOREVER_MS = 1e9
 
 
-def _make_job(factor: int) -> Job:
-    work = {"cpu": LONG_CPU, "ms": WORK_MS * factor, "how": "done"}
+def _make_long() -> Job:
+    work = {"cpu": LONG_CPU, "ms": LONG_MS, "how": "done"}
+    step = {"count": 1, "cpu": LONG_CPU, "mem_mb": 64}
+    return Job(PATH, {"spec": json.dumps(work), "steps": [step]})
+
+
+def _make_usual() -> Job:
+    work = {"cpu": USUAL_CPU, "ms": 200, "how": "done"}
     step = {
-        "count": WIDTH,
-        "cpu": LONG_CPU,
+        "count": 1,
+        "cpu": USUAL_CPU,
         "mem_mb": 64,
-        "estimate_ms": WORK_MS,
+        "estimate_ms": 200,
     }
     return Job(PATH, {"spec": json.dumps(work), "steps": [step]})
 
 
-def _make_lasting() -> Job:
-    work = {"cpu": LASTING_CPU, "ms": FOREVER_MS, "how": "done"}
-    step = {"count": 1, "cpu": LASTING_CPU, "mem_mb": 64}
-    content = {"spec": json.dumps(work), "steps": [step], "long_running": True}
-    return Job(PATH, content)
+async def _play(play: Play) -> list[str]:
+    for _ in range(LONG_JOBS):
+        await play.clients.submit(_make_long())
+        await asyncio.sleep(LONG_GAP_S)
+    idle = [worker for worker in play.workers if not worker.used_cpu]
+    if not idle:
+        raise CaseError("no worker is idle")
+    if play.has_trouble:
+        await idle[0].crash(None)
+    await asyncio.sleep(3.0)
+    usual = [_make_usual() for _ in range(USUAL_JOBS)]
+    for job in usual:
+        await asyncio.gather(
+            play.clients.submit(job), asyncio.sleep(USUAL_GAP_S)
+        )
+    await asyncio.sleep(FINISH_S)
+    for job in usual:
+        await play.clients.read_state(job)
+    if not await _has_room(play.workers):
+        return []
+    started = {
+        run.task.partition(".")[0]
+        for worker in play.workers
+        for run in worker.runs
+    }
+    return [
+        f"{job.key} was accepted and was not started in"
+        f" {play.record.now_ms() - job.accepted_ms:.0f} ms"
+        for job in usual
+        if job.is_accepted and job.key not in started
+    ]
 
 
-async def _play(play: Play) -> list[str]:
-    for _ in range(JOBS - LONG_JOBS):
-        await play.clients.submit(_make_job(1))
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(2.0)
-    factor = LONG_FACTOR if play.has_trouble else 1
-    long_jobs = [_make_job(factor) for _ in range(LONG_JOBS)]
-    play.record.add("LONG", f"x {factor}")
-    await asyncio.gather(*(play.clients.submit(job) for job in long_jobs))
-    await asyncio.sleep(LASTING_AT_S)
-    lasting = _make_lasting()
-    await play.clients.submit(lasting)
-    begin_ms = play.record.now_ms()
-    while play.record.now_ms() - begin_ms < WATCH_S * 1000.0:
-        runs = [
-            run
-            for worker in play.workers
-            for run in worker.runs
-            if run.task.startswith(lasting.key)
-        ]
+async def _has_room(workers: list[Worker]) -> bool:
+    """Returns whether most of the service is free for as long as LOST says."""
+    has_room = True
+    for _ in range(int(WATCH_S / SAMPLE_S)):
+        up = [worker for worker in workers if worker.is_up]
+        used = sum(worker.used_cpu for worker in up)
         free = [
             worker
-            for worker in play.workers
-            if WORKER_CPU - worker.used_cpu >= 2 * LASTING_CPU
+            for worker in up
+            if WORKER_CPU - worker.used_cpu >= 2 * USUAL_CPU
         ]
-        if runs or len(free) < 2:
-            return []
+        has_room &= used < len(up) * WORKER_CPU / 2 and len(free) >= 2
         await asyncio.sleep(SAMPLE_S)
-    return [f"{lasting.key} had nothing running for {WATCH_S} s"]
+    return has_room
 
 
 if __name__ == "__main__":
-    run_case(__file__, CONFIG, _play, LABELS)
+    labels = [["a", f"r{number % 3}"] for number in range(WORKERS)]
+    run_case(__file__, CONFIG, _play, labels)
