--- a/review/standins2/client.py
+++ b/review/standins2/client.py
@@ -78,8 +78,11 @@
         return count
 
     def _address(self) -> tuple[str, int]:
-        machines = [m for m in self._deployment.entries if m.is_running]
-        return random.choice(machines).ip, self._deployment.front_port
+        entries = self._deployment.entries
+        machines = [m for m in entries if m.is_running]
+        return random.choice(
+            machines or entries
+        ).ip, self._deployment.front_port
 
     async def _call(
         self, method: str, job: Job, content: object = None
--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -34,6 +34,7 @@
         end_ms: time of the end, None while it runs.
         how: how it ended, "" while it runs, `crash` if the worker crashed.
         is_noted: whether `seen_upto` has reached its end.
+        has_lapsed: whether the lease lapsed between its end and that.
     """
 
     def __init__(self, task: str, number: int, worker: str, start_ms: float):
@@ -44,6 +45,7 @@
         self.end_ms: float | None = None
         self.how = ""
         self.is_noted = False
+        self.has_lapsed = False
 
 
 class _Running:
@@ -175,6 +177,9 @@
         """Ends the runs whose work is over, and all when the lease is."""
         while self.is_up:
             now_s = time.monotonic()
+            if now_s >= self._lease_until_s:
+                for _, ended in self._ended:
+                    ended.has_lapsed = True
             for task, running in list(self._running.items()):
                 if now_s >= self._lease_until_s:
                     self._end(task, "lapsed")
