--- a/review/standins2/play.py
+++ b/review/standins2/play.py
@@ -4,8 +4,10 @@
 import os
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
+import traceback
 from collections.abc import Awaitable, Callable
 
 from standins2.client import Clients
@@ -18,6 +20,8 @@
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
 WORKER_CPU = 16_000
+# A case that takes longer could not be run.
+MAX_S = 110.0
 
 
 class CaseError(Exception):
@@ -95,6 +99,8 @@
     record = Record(pathlib.Path(case_file).parent / "record.txt")
     folder = pathlib.Path(tempfile.mkdtemp(prefix="clayfield-review-"))
     code = EXIT_NOT_RUN
+    # Ends the processes that were started if the case itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     play = Play(folder, record, worker_labels, entries)
     try:
         breaks = asyncio.run(_play(play, config, play_case))
@@ -103,7 +109,9 @@
         code = EXIT_BROKEN if breaks else EXIT_HELD
         record.add("result", f"{len(breaks)} breaks")
         print(f"{len(breaks)} breaks")
-    except (CaseError, OSError) as exc:
+    except Exception as exc:
+        if not isinstance(exc, CaseError):
+            traceback.print_exc()
         record.add("result", f"could not run: {exc}")
         print(f"could not run: {exc}")
     finally:
@@ -118,5 +126,6 @@
     config: dict[str, object],
     play_case: Callable[[Play], Awaitable[list[str]]],
 ) -> list[str]:
-    await play.begin(config)
-    return await play_case(play)
+    async with asyncio.timeout(MAX_S):
+        await play.begin(config)
+        return await play_case(play)
