--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -1,9 +1,9 @@
 """A worker that follows PROTOCOL.md, "Running tasks".
 
 The `spec` of a job says what its tasks do, as JSON: `cpu` is what a task needs,
-`ms` is how long it works, `how` is `done`, `failed` or `crash`. A task that
-crashes its worker does so after `ms`; the worker is back with a new id and no
-state after `DOWN_S`.
+`ms` is how long it works, or a list with that of each task, `how` is `done`,
+`failed` or `crash`. A task that crashes its worker does so after `ms`; the
+worker is back with a new id and no state after `DOWN_S`.
 """
 
 import asyncio
@@ -242,7 +242,10 @@
             return 409, "room"
         run = RunRecord(task, number, self.name, self._record.now_ms())
         self.runs.append(run)
-        until_s = time.monotonic() + work["ms"] / 1000.0
+        work_ms = work["ms"]
+        if isinstance(work_ms, list):
+            work_ms = work_ms[int(task.rpartition(".")[2])]
+        until_s = time.monotonic() + work_ms / 1000.0
         self._running[task] = _Running(run, work["cpu"], until_s, work["how"])
         self._record.add("start", f"{task} run {number} on {self.name}")
         return 200, ""
@@ -283,7 +286,7 @@
             except TimeoutError:
                 pass
         running = [
-            [task, entry.record.number, "", 100]
+            [task, entry.record.number, "", 100, entry.cpu]
             for task, entry in self._running.items()
         ]
         ended = [
@@ -331,6 +334,8 @@
             status, reason = self._start_run(body)
         elif path == "/-/run-stop":
             status, reason = self._stop_run(body)
+        elif path == "/-/pace":
+            status, reason = 200, ""
         else:
             return 404, {}
         return status, {"reason": reason} if reason else {}
