--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 
@@ -10,6 +11,8 @@
 from standins2.client import Job, make_config
 from standins2.play import HOST, Play, run_case
 
+# With TROUBLE=0 the same is done without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PATH = "/orders/"
 CONFIG = make_config({"orders": (PATH, 0, 3)}, HOST)
 WATCH_S = 25.0
@@ -25,7 +28,7 @@
 
 
 async def _play(play: Play) -> list[str]:
-    job = _make_job("crash" if play.has_trouble else "done")
+    job = _make_job("crash" if HAS_TROUBLE else "done")
     await play.clients.submit(job)
     others = [_make_job("done") for _ in range(int(WATCH_S))]
     for other in others:
@@ -56,4 +59,9 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, CONFIG, _play, [["a", f"r{n % 3}"] for n in range(12)])
+    run_case(
+        __file__,
+        CONFIG,
+        _play,
+        [["a", f"r{n % 3}"] for n in range(12)],
+    )
