--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -9,9 +9,9 @@
 
 import pytest
 
+from clayfield.testbed.node_processes import LOOPBACK, Node
 from clayfield.testbed.processes import fetch, free_port, wait_for
 
-LOOPBACK = "127.0.0.1"
 HELD_WORKERS = r"clayfield_held_workers\S* 4\b"
 ROUTING = {
     "version": 3,
@@ -36,79 +36,6 @@
 }
 
 
-class Node:
-    """A clayfield-node process, entry or control, on loopback ports."""
-
-    def __init__(
-        self,
-        role,
-        name,
-        seeds,
-        folder,
-        first="yes",
-        peers=None,
-        program=("clayfield.node.main",),
-    ):
-        self.role = role
-        self.port = free_port()
-        self.ready = free_port()
-        self.metrics = free_port()
-        self.peers = peers or free_port()
-        self.log = folder / f"{name}.log"
-        self._command = [
-            sys.executable,
-            "-m",
-            *program,
-            role,
-            f"--node={name}",
-            f"--peers={LOOPBACK}:{self.peers}",
-            "--seeds=" + ",".join(f"{LOOPBACK}:{seed}" for seed in seeds),
-            f"--metrics={LOOPBACK}:{self.metrics}",
-            "--grace-ms=6000",
-        ]
-        if role == "control":
-            self._command += [
-                f"--operators={LOOPBACK}:{self.port}",
-                f"--data-folder={folder / name}",
-            ]
-        else:
-            self._command += [
-                f"--callers={LOOPBACK}:{self.port}",
-                f"--readiness={LOOPBACK}:{self.ready}",
-            ]
-        self.start(first)
-
-    def start(self, first="no"):
-        with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
-                [*self._command, f"--first-start={first}"],
-                stdout=log,
-                stderr=log,
-            )
-
-    def kill(self):
-        self.process.kill()
-        self.process.wait(20)
-
-    def request(self, method, path, body=None, port=None):
-        conn = http.client.HTTPConnection(
-            LOOPBACK, port or self.port, timeout=30
-        )
-        content = body if isinstance(body, bytes) else json.dumps(body).encode()
-        try:
-            conn.request(method, path, content if body is not None else None)
-            response = conn.getresponse()
-            return response.status, response.read(), response.headers
-        except (OSError, http.client.HTTPException):
-            return 0, b"", {}
-        finally:
-            conn.close()
-
-    @property
-    def is_ready(self):
-        return self.request("GET", "/", port=self.ready)[0] == 200
-
-
 class Pool:
     """Three control nodes, two entry nodes and a process of fake workers."""
 
