Answer a rejected request in its order and before the connection ends

What callers saw: a job that runs looks refused. A second request on its connection that is over a limit got 413, 429 or 431 at once, before the job's answer, and clients take the answers in order; 429 promises that the job never runs. A client that was still sending got a reset in place of the answer.

Cause: HttpConnection._reject wrote whatever was being handled, then closed the socket with unread data.

Evidence: five of the new cases in test_httpserver fail on the code before (statuses [413] instead of [], no connection that outlasts unread data).

Change: a rejection ends the input; its answer is the last of the connection, after those of all earlier requests. Then only the sending side is closed, and what arrives is dropped for 1 s or 512 KiB. Each rejection is counted by reason (clayfield_clients_refused_total) and logged once a second (CLIENT_REFUSED). The stand-in transport of the tests gets loseWriteConnection, which ends what a client can receive just as loseConnection does.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -429,6 +429,12 @@
         "a worker crashed while a task ran on it",
         ("job", "step", "index", "crashes", "alone", "is_given_up"),
     )
+    CLIENT_REFUSED = _Spec(
+        6032,
+        logbook.WARNING,
+        "a client was refused or disconnected because of a limit",
+        ("reason", "peer", "figure", "limit"),
+    )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
     )
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -27,6 +27,7 @@
     make_initial_records,
 )
 from clayfield.daemon.store import Store
+from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import HttpLimits, HttpRequest, HttpServer
 from clayfield.node.interfaces import (
     HeartbeatCall,
@@ -51,6 +52,7 @@
 ROLE = "control"
 TICKS_PER_CHECK = 25
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+LIMITS = HttpLimits(body_bytes=MAX_DOCUMENT_BYTES)
 # Largest request that is read in the event loop.
 MAX_INLINE_BYTES = 64 * 1024
 # Largest number of threads that read requests; the store needs one, too.
@@ -106,9 +108,19 @@
         self._streams = Streams(
             reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
         )
-        self._server = HttpServer(reactor, self._on_request, _make_limits)
-        self._metrics = ControlMetrics(self._control, self._streams)
-        self._metrics_server = MetricsServer(reactor, self._metrics)
+        self._guard = ClientGuard()
+        self._server = HttpServer(
+            reactor,
+            self._on_request,
+            lambda: LIMITS,
+            self._guard,
+        )
+        self._metrics = ControlMetrics(
+            self._control, self._streams, self._guard
+        )
+        self._metrics_server = MetricsServer(
+            reactor, self._metrics, self._guard
+        )
         self._rejections = RepeatFilter(self._clock, LOG_INTERVAL_MS)
         self._resends = RepeatFilter(self._clock, RESEND_LOG_INTERVAL_MS)
         self._readers = defer.DeferredSemaphore(MAX_READERS)
@@ -408,9 +420,5 @@
                 emit(Event.CONFIG_STORED, version=version, index=record.index)
 
 
-def _make_limits() -> HttpLimits:
-    return HttpLimits(body_bytes=MAX_DOCUMENT_BYTES)
-
-
 def _reply(request: HttpRequest, reply: HttpReply) -> None:
     request.respond(reply.status, reply.body, headers=reply.headers)
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -12,6 +12,7 @@
 
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import HttpLimits, HttpRequest, HttpServer
 from clayfield.node.interfaces import (
     CallerProtocol,
@@ -142,11 +143,28 @@
             self.schedule_actions,
             format_address(cfg.advisor) if cfg.advisor else "",
         )
-        self._server = HttpServer(reactor, self._on_request, self._get_limits)
-        self._readiness = HttpServer(reactor, self._on_readiness, HttpLimits)
+        self._guard = ClientGuard()
+        self._limits = HttpLimits()
+        self._limits_version = 0
+        self._server = HttpServer(
+            reactor,
+            self._on_request,
+            self._get_limits,
+            self._guard,
+        )
+        self._readiness = HttpServer(
+            reactor,
+            self._on_readiness,
+            HttpLimits,
+            self._guard,
+        )
         self._pending: dict[int, _PendingRequest] = {}
-        self._metrics = EntryMetrics(self._entry, self._commands, self._streams)
-        self._metrics_server = MetricsServer(reactor, self._metrics)
+        self._metrics = EntryMetrics(
+            self._entry, self._commands, self._streams, self._guard
+        )
+        self._metrics_server = MetricsServer(
+            reactor, self._metrics, self._guard
+        )
         self._last_request_id = 0
         # The last version that could not be read, which is sent repeatedly.
         self._rejected_version = 0
@@ -230,13 +248,17 @@
     # Callers.
 
     def _get_limits(self) -> HttpLimits:
-        limits = self._entry.routes.limits
-        return HttpLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_ms,
-            limits.idle_ms,
-        )
+        """Returns the limits of callers' requests in the active routing."""
+        routes = self._entry.routes
+        if routes.version != self._limits_version:
+            self._limits_version = routes.version
+            self._limits = HttpLimits(
+                routes.limits.header_bytes,
+                routes.limits.body_bytes,
+                routes.limits.header_ms,
+                routes.limits.idle_ms,
+            )
+        return self._limits
 
     def _on_readiness(self, request: HttpRequest) -> None:
         is_ready = self._entry.is_ready and self._server.is_listening
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -1,12 +1,13 @@
 """One connection of the HTTP server."""
 
 import collections
+import enum
 import http
 import traceback
 import typing
 
 import httptools
-from twisted.internet import interfaces, protocol
+from twisted.internet import protocol
 from twisted.python import failure
 
 from clayfield.node.httpmessages import (
@@ -21,111 +22,167 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 64
 # Least mean rate at which a body may arrive.
-MIN_BODY_BYTES_PER_MS = 1.0
+MIN_BYTES_PER_MS = 1.0
+# After its last answer a connection is read for a while: closing it with unread
+# data would reset it, and the client might lose the answer.
+LINGER_MS = 1000.0
+LINGER_BYTES = 512 * 1024
+MS_PER_S = 1000.0
+CLOSE = ("Connection", "close")
+
+
+class Refusal(enum.StrEnum):
+    """The limit because of which a client is refused or disconnected."""
+
+    INVALID = "invalid-request"
+    HEAD = "head-size"
+    BODY = "body-size"
+    SLOW = "request-time"
+    PIPELINED = "waiting-requests"
 
 
 class HttpConnection(protocol.Protocol):
-    """One connection, also the callback target of its request parser."""
+    """One connection, also the callback target of its request parser.
+
+    Attributes:
+        last_activity_s: time of the last part of a request or of the last
+            response, in s; the time of its opening before.
+    """
 
-    def __init__(self, server: "HttpServer"):
+    def __init__(self, server: "HttpServer", peer: str):
+        """Creates the protocol of a connection.
+
+        Args:
+            server: the server that accepted it.
+            peer: address of the client, for the log.
+        """
+        self.last_activity_s = 0.0
         self._server = server
+        self._guard = server.guard
+        self._peer = peer
         self._parser = httptools.HttpRequestParser(self)
+        self._is_paused = False
         self._queue: collections.deque[HttpRequest] = collections.deque()
         self._current: HttpRequest | None = None
+        self._reset_request()
+        self._is_receiving = False
+        self._is_input_ended = False
+        self._last_response = b""
+        self._lingers_since_s: float | None = None
+        self._lingered_bytes = 0
+
+    def _reset_request(self) -> None:
+        """Forgets the request that was being received."""
         self._headers: dict[str, str] = {}
         self._path = bytearray()
         self._body = bytearray()
-        self._head_bytes = 0
-        self._is_receiving = False
-        self._expects_continue = False
-        self._is_closing = False
-        self._deadline: interfaces.IDelayedCall | None = None
-        self._last_activity_s = 0.0
         self._begun_s = 0.0
+        self._expects_continue = False
+        # Size of the path and of all names and values.
+        self._head_bytes = 0
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received or handled."""
-        return self._current is None and not self._is_receiving
+        return (
+            self._current is None
+            and not self._queue
+            and not self._is_receiving
+            and not self._last_response
+        )
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
         """Registers the connection with the server."""
         self.transport.setTcpNoDelay(True)
-        self._last_activity_s = self._server.reactor.seconds()
+        self.last_activity_s = self._server.reactor.seconds()
         self._server.connections.add(self)
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Calls `on_disconnected` of each request without a response."""
         self._server.connections.discard(self)
-        self._is_closing = True
+        self._is_input_ended = True
         pending = [self._current] if self._current else []
         pending += self._queue
         self._queue.clear()
         self._current = None
+        self._reset_request()
         for request in pending:
             if not request.has_response and request.on_disconnected:
                 request.has_response = True
                 request.on_disconnected()
 
+    # Input.
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parses a part of a request; rejects an invalid one."""
-        if self._is_closing:
+        """Parses received data; rejects an invalid request."""
+        if self._is_input_ended:
+            self._drop(len(data))
             return
-        self._last_activity_s = self._server.reactor.seconds()
+        self._parse(data)
+
+    def _drop(self, byte_count: int) -> None:
+        """Drops data after the end of the input, for a while."""
+        if self._lingers_since_s is None:
+            # Until the requests before it are answered.
+            self._pause_reading()
+            return
+        self._lingered_bytes += byte_count
+        if self._lingered_bytes > LINGER_BYTES:
+            self.transport.abortConnection()
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused and not self.transport.disconnecting:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and not self.transport.disconnecting:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
+    def _parse(self, data: bytes) -> None:
+        self.last_activity_s = self._server.reactor.seconds()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(http.HTTPStatus.NOT_IMPLEMENTED)
+            self._reject(http.HTTPStatus.NOT_IMPLEMENTED, Refusal.INVALID)
         except httptools.HttpParserError:
-            self._reject(http.HTTPStatus.BAD_REQUEST)
+            self._reject(http.HTTPStatus.BAD_REQUEST, Refusal.INVALID)
         self._continue_body()
 
-    def check_timeouts(self, now_s: float) -> None:
-        """Closes the connection if it is idle or receives for too long."""
-        elapsed_ms = (now_s - self._last_activity_s) * 1000.0
-        limits = self._server.limits()
-        if self._is_receiving:
-            arriving_ms = (now_s - self._begun_s) * 1000.0
-            body_ms = len(self._body) / MIN_BODY_BYTES_PER_MS
-            is_slow = arriving_ms > limits.header_ms + body_ms
-            if is_slow or elapsed_ms > limits.header_ms:
-                self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self.is_idle and elapsed_ms > limits.idle_ms:
-            self.close()
-
-    def close(self) -> None:
-        """Closes the connection after the data already written is sent."""
-        self._is_closing = True
-        self.transport.loseConnection()
-
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Handles the start of a request."""
+        self._reset_request()
         self._is_receiving = True
         self._begun_s = self._server.reactor.seconds()
-        self._expects_continue = False
-        self._headers = {}
-        self._path.clear()
-        self._body.clear()
-        self._head_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Handles a part of the path."""
-        self._path += url
         self._count_head(len(url))
+        if not self._is_input_ended:
+            self._path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header of the request by its name in lower case."""
         self._count_head(len(name) + len(value))
         lower_name = name.decode("latin-1").lower()
+        if self._is_input_ended:
+            return
         self._headers[lower_name] = value.decode("latin-1")
 
     def _count_head(self, byte_count: int) -> None:
         """Adds to the size of the head and rejects one over the limit."""
         self._head_bytes += byte_count
-        if self._head_bytes > self._server.limits().header_bytes:
-            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        limit = self._server.limits().header_bytes
+        if self._head_bytes > limit:
+            self._reject(
+                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                Refusal.HEAD,
+                self._head_bytes,
+                limit,
+            )
 
     def on_headers_complete(self) -> None:
         """Records whether the client waits for an interim response."""
@@ -140,30 +197,39 @@
 
         Interim responses keep to the order of the responses.
         """
-        if not self._expects_continue or self._is_closing or self._current:
+        if not self._expects_continue or self._is_input_ended:
+            return
+        if self._current is not None or self._queue:
             return
         self._expects_continue = False
         length = int(self._headers.get("content-length", "0"))
         if length > self._server.limits().body_bytes:
-            self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self._reject_body(length)
         else:
             self.transport.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Handles a part of the body."""
         self._expects_continue = False
-        if self._is_closing:
+        if self._is_input_ended:
             return
         self._body += body
         if len(self._body) > self._server.limits().body_bytes:
-            self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self._reject_body(len(self._body))
+
+    def _reject_body(self, byte_count: int) -> None:
+        self._reject(
+            http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            Refusal.BODY,
+            byte_count,
+            self._server.limits().body_bytes,
+        )
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
-        if self._is_closing:
+        if self._is_input_ended:
             return
         self._is_receiving = False
-        self._expects_continue = False
         request = HttpRequest(
             self,
             self._parser.get_method().decode("latin-1"),
@@ -171,13 +237,26 @@
             self._headers,
             bytes(self._body),
         )
+        self._reset_request()
         if len(self._queue) >= MAX_PIPELINED:
-            self._reject(http.HTTPStatus.TOO_MANY_REQUESTS)
-        elif self._current is None:
+            self._reject(
+                http.HTTPStatus.TOO_MANY_REQUESTS,
+                Refusal.PIPELINED,
+                len(self._queue),
+                MAX_PIPELINED,
+            )
+        elif self._can_serve and not self._queue:
             self._serve(request)
         else:
             self._queue.append(request)
 
+    @property
+    def _can_serve(self) -> bool:
+        """Whether no request is handled."""
+        return self._current is None
+
+    # Answers.
+
     def _serve(self, request: HttpRequest) -> None:
         """Passes a request on; responds with an error if that raises."""
         self._current = request
@@ -189,10 +268,10 @@
 
     def write_response(self, request: HttpRequest, response: bytes) -> None:
         """Writes the response to the request that is being handled."""
-        if request is not self._current or self._is_closing:
+        if request is not self._current:
             return
         self._current = None
-        self._last_activity_s = self._server.reactor.seconds()
+        self.last_activity_s = self._server.reactor.seconds()
         if self._server.is_closing:
             head, separator, body = response.partition(b"\r\n\r\n")
             response = head + b"\r\nConnection: close" + separator + body
@@ -202,20 +281,97 @@
         self.transport.write(response)
         if self._server.is_closing:
             self.close()
-        elif self._queue:
-            self._server.reactor.callLater(0, self._serve_next)
         else:
-            self._continue_body()
+            self._proceed()
 
-    def _serve_next(self) -> None:
-        if self._queue and self._current is None:
-            self._serve(self._queue.popleft())
+    def _proceed(self) -> None:
+        """Goes on with the next request."""
+        if self._can_serve:
+            if self._queue:
+                self._server.reactor.callLater(0, self._serve_next)
+            elif self._last_response:
+                self._send_last()
+            else:
+                self._continue_body()
 
-    def _reject(self, status: http.HTTPStatus) -> None:
-        """Responds with an error status and closes the connection."""
-        if self._is_closing:
+    def _serve_next(self) -> None:
+        if not self._queue or not self._can_serve:
             return
-        self._is_closing = True
-        headers = (("Connection", "close"),)
-        self.transport.write(render_response(status, b"", TEXT_TYPE, headers))
+        request = self._queue.popleft()
+        self._serve(request)
+
+    # The end of the connection.
+
+    def close(self) -> None:
+        """Closes the connection after the data already written is sent."""
+        self._is_input_ended = True
         self.transport.loseConnection()
+
+    def _reject(
+        self,
+        status: http.HTTPStatus,
+        reason: Refusal,
+        figure: float = 0,
+        limit: float = 0,
+    ) -> None:
+        """Ends the input with an error response, in the order of the answers.
+
+        Args:
+            status: HTTP status code.
+            reason: the limit that was exceeded.
+            figure: the value that exceeded it.
+            limit: the limit.
+        """
+        if not self._is_input_ended:
+            self._guard.on_refused(reason, self._peer, figure, limit)
+            self._end_input(status)
+
+    def _end_input(self, status: http.HTTPStatus) -> None:
+        """Drops the unfinished request; sends an error as the last answer."""
+        self._is_input_ended = True
+        self._is_receiving = False
+        self._reset_request()
+        self._last_response = render_response(status, b"", TEXT_TYPE, (CLOSE,))
+        self._proceed()
+
+    def _send_last(self) -> None:
+        """Sends the error response, and reads on until the client closes."""
+        if self._lingers_since_s is not None:
+            return
+        self._lingers_since_s = self._server.reactor.seconds()
+        self.transport.write(self._last_response)
+        self.transport.loseWriteConnection()
+        self._resume_reading()
+
+    def check_timeouts(self, now_s: float) -> None:
+        """Closes the connection if it is idle or takes too long."""
+        limits = self._server.limits()
+        elapsed_ms = (now_s - self.last_activity_s) * MS_PER_S
+        if self._lingers_since_s is not None:
+            if (now_s - self._lingers_since_s) * MS_PER_S > LINGER_MS:
+                self.transport.abortConnection()
+        elif self._is_receiving:
+            self._check_arrival(now_s, elapsed_ms, limits.header_ms)
+        elif self.is_idle and elapsed_ms > limits.idle_ms:
+            self.close()
+
+    def _check_arrival(
+        self, now_s: float, elapsed_ms: float, limit_ms: float
+    ) -> None:
+        """Rejects a request that arrives too slowly.
+
+        Args:
+            now_s: current time, in s.
+            elapsed_ms: time since the last part of it, in ms.
+            limit_ms: longest time without a part, and of the head, in ms.
+        """
+        arriving_ms = (now_s - self._begun_s) * MS_PER_S
+        body_ms = len(self._body) / MIN_BYTES_PER_MS
+        is_slow = arriving_ms > limit_ms + body_ms
+        if is_slow or elapsed_ms > limit_ms:
+            self._reject(
+                http.HTTPStatus.REQUEST_TIMEOUT,
+                Refusal.SLOW,
+                arriving_ms,
+                limit_ms,
+            )
--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -12,6 +12,7 @@
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
+from clayfield.node.guard import ClientGuard
 from clayfield.node.httpconnection import HttpConnection
 from clayfield.node.httpmessages import (
     JSON_TYPE,
@@ -40,6 +41,7 @@
         reactor: the twisted reactor.
         handle: called with each complete request.
         limits: returns the current limits.
+        guard: the limits on all clients of the process.
         connections: the open connections.
         is_closing: whether a connection closes after its next response.
     """
@@ -51,18 +53,22 @@
         reactor: interfaces.IReactorTCP,
         handle: Callable[[HttpRequest], None],
         limits: Callable[[], HttpLimits],
+        guard: ClientGuard | None = None,
     ):
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
+        self.guard = guard or ClientGuard()
         self.connections: set[HttpConnection] = set()
         self.is_closing = False
         self._failures = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
         self._listener = Listener(reactor, self)
 
-    def buildProtocol(self, addr: object) -> HttpConnection:  # noqa: N802
+    def buildProtocol(  # noqa: N802 - twisted's name
+        self, addr: interfaces.IAddress | None
+    ) -> HttpConnection:
         """Returns the protocol of a new connection."""
-        return HttpConnection(self)
+        return HttpConnection(self, getattr(addr, "host", ""))
 
     def listen(self, address: tuple[str, int]) -> None:
         """Starts to listen, now or as soon as the address is free.
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -6,6 +6,7 @@
 
 from clayfield.base.events import dropped_line_count
 from clayfield.cluster import ControlNode
+from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import (
     TEXT_TYPE,
     HttpLimits,
@@ -24,8 +25,9 @@
 class NodeMetrics:
     """The metrics of nodes of both roles."""
 
-    def __init__(self, streams: Streams) -> None:
+    def __init__(self, streams: Streams, guard: ClientGuard) -> None:
         self._streams = streams
+        self._guard = guard
         self._registry = Registry()
         self._gauges: dict[str, Gauge] = {}
         self._dropped = Counter(
@@ -33,6 +35,11 @@
             "Log lines beyond the bounds.",
             registry=self._registry,
         )
+        self._refused = Counter(
+            "clayfield_clients_refused_total",
+            "Clients refused or disconnected because of a limit, by reason.",
+            registry=self._registry,
+        )
 
     def _set(self, name: str, help_text: str, value: float) -> None:
         """Sets a gauge, creating it on first use."""
@@ -52,6 +59,8 @@
             "Bytes that wait to be sent to other nodes.",
             self._streams.waiting_bytes(),
         )
+        for reason, count in self._guard.refused.items():
+            self._refused.set({"reason": reason}, count)
         self._update()
         content, _ = render(self._registry, ["text/plain"])
         return content
@@ -64,9 +73,13 @@
     """The metrics of an entry node."""
 
     def __init__(
-        self, entry: EntryNode, commands: WorkerCommands, streams: Streams
+        self,
+        entry: EntryNode,
+        commands: WorkerCommands,
+        streams: Streams,
+        guard: ClientGuard,
     ):
-        super().__init__(streams)
+        super().__init__(streams, guard)
         self._entry = entry
         self._commands = commands
         self._jobs_ended = Counter(
@@ -158,8 +171,10 @@
 class ControlMetrics(NodeMetrics):
     """The metrics of a control node."""
 
-    def __init__(self, control: ControlNode, streams: Streams):
-        super().__init__(streams)
+    def __init__(
+        self, control: ControlNode, streams: Streams, guard: ClientGuard
+    ):
+        super().__init__(streams, guard)
         self._control = control
         self._rejected = Counter(
             "clayfield_heartbeats_rejected_total",
@@ -185,9 +200,19 @@
 class MetricsServer:
     """Serves a node's metrics over HTTP at a separate address."""
 
-    def __init__(self, reactor: interfaces.IReactorTCP, metrics: NodeMetrics):
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTCP,
+        metrics: NodeMetrics,
+        guard: ClientGuard,
+    ):
         self._metrics = metrics
-        self._server = HttpServer(reactor, self._on_request, HttpLimits)
+        self._server = HttpServer(
+            reactor,
+            self._on_request,
+            HttpLimits,
+            guard,
+        )
 
     def start(self, cfg: NodeSettings) -> None:
         """Starts to listen if the settings name an address for metrics.
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -15,9 +15,19 @@
 
 
 class _Transport(StringTransport):
+    is_aborted = False
+
     def setTcpNoDelay(self, enabled):  # noqa: N802 - twisted's name
         pass
 
+    def abortConnection(self):  # noqa: N802
+        self.is_aborted = True
+        super().abortConnection()
+
+    def loseWriteConnection(self):  # noqa: N802
+        # What the client sees: no answer comes after this one.
+        self.disconnecting = True
+
 
 class _Client:
     """A connection to a server that answers each request with its body."""
@@ -68,6 +78,10 @@
     def is_closed(self):
         return self._transport.disconnecting
 
+    @property
+    def is_aborted(self):
+        return self._transport.is_aborted
+
 
 def _head(*lines, method=b"PUT"):
     all_lines = (method + b" /c HTTP/1.1", b"Host: h", *lines)
@@ -243,3 +257,44 @@
     head, _, body = client.output.partition(b"\r\n\r\n")
     assert b"Content-Length: 13" in head
     assert body == b""
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (_head(_length(20)) + b"x" * 20, 413),
+        (_head(_length(1), _length(2)), 400),
+        (_head(b"X: " + b"x" * 300), 431),
+    ],
+)
+def test_rejection_is_no_answer_to_an_earlier_request(data, status):
+    # A job that runs must not look refused to its caller.
+    client = _Client(
+        lambda: HttpLimits(header_bytes=200, body_bytes=10), answers=False
+    )
+    client.send(_head(_length(1)) + b"1", _head(_length(1)) + b"2", data)
+    assert client.statuses == []
+    client.answer_next()
+    client.reactor.advance(0)
+    assert client.statuses == [200]
+    client.answer_next()
+    assert client.statuses == [200, 200, status]
+    assert client.is_closed
+
+
+def test_many_requests_that_wait_get_no_answers_out_of_order():
+    # The 65th request was rejected in place of the first one's answer.
+    client = _Client(answers=False)
+    client.send(*[_head(_length(1)) + b"x" for _ in range(70)])
+    assert client.statuses == []
+
+
+def test_answer_to_a_rejected_request_outlasts_unread_data():
+    # Closing a connection with unread data resets it and loses the answer.
+    client = _Client(lambda: HttpLimits(body_bytes=10))
+    client.send(_head(_length(10**6)) + b"x" * 20)
+    assert client.statuses == [413]
+    client.send(b"x" * 1000)
+    assert not client.is_aborted
+    client.wait(2)
+    assert client.is_aborted
