Bound what the parser keeps of heads, trailers and empty lines

What callers saw: a process that runs out of memory. 80 clients that send a header value, a header name or a trailer without end took 216 to 351 MB of 128 at each of five listeners; empty lines before a request were read for ever, and connections to the metrics address were never closed.

Cause: httptools joins an unfinished line before it reports it, so the count in on_header came too late, and nothing is reported for empty lines. The periodic check of time limits left the metrics server out.

Change: input is parsed in pieces of 4 KiB; what is fed to the parser is counted by the state of the connection (in a head, between requests, since the last byte of a body) and rejected over twice header_bytes plus one piece. Names and values alone still count against header_bytes, so nothing that was served is refused. Empty lines are no activity. This works for any line, as the bound is on what goes in and not on what the parser reports.

--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -167,6 +167,7 @@
         self._ticks += 1
         if self._ticks % TICKS_PER_CHECK == 0:
             self._server.check_timeouts()
+            self._metrics_server.check_timeouts()
             if self._settings.has_changed():
                 self.reload()
         is_leading = self._control.is_state_current
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -191,6 +191,7 @@
             if self._settings.has_changed():
                 self.reload()
             self._readiness.check_timeouts()
+            self._metrics_server.check_timeouts()
             self._commands.drop_unused()
         self._log_changes()
         if self._stop_started_ms is not None:
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -1,4 +1,8 @@
-"""One connection of the HTTP server."""
+"""One connection of the HTTP server.
+
+Received bytes are parsed in small pieces: the parser keeps an unfinished line,
+so its length has to be bounded before the parser reports it.
+"""
 
 import collections
 import enum
@@ -23,6 +27,12 @@
 MAX_PIPELINED = 64
 # Least mean rate at which a body may arrive.
 MIN_BYTES_PER_MS = 1.0
+# Most bytes that are read from the socket, and that are parsed, at once.
+READ_BYTES = 16_384
+PIECE_BYTES = 4096
+# The parser counts separators and white space as well, and the piece that ends
+# an earlier request; names and values alone count against `header_bytes`.
+FED_PER_HEAD_BYTE = 2
 # After its last answer a connection is read for a while: closing it with unread
 # data would reset it, and the client might lose the answer.
 LINGER_MS = 1000.0
@@ -36,6 +46,8 @@
 
     INVALID = "invalid-request"
     HEAD = "head-size"
+    TRAILERS = "trailer-size"
+    EMPTY_LINES = "empty-lines"
     BODY = "body-size"
     SLOW = "request-time"
     PIPELINED = "waiting-requests"
@@ -66,6 +78,10 @@
         self._current: HttpRequest | None = None
         self._reset_request()
         self._is_receiving = False
+        # Bytes fed to the parser since the last request.
+        self._between_fed = 0
+        # Whether a request has begun or ended in the piece that is parsed.
+        self._is_at_edge = False
         self._is_input_ended = False
         self._last_response = b""
         self._lingers_since_s: float | None = None
@@ -77,9 +93,14 @@
         self._path = bytearray()
         self._body = bytearray()
         self._begun_s = 0.0
+        self._is_head_complete = False
         self._expects_continue = False
         # Size of the path and of all names and values.
         self._head_bytes = 0
+        # Bytes fed to the parser for the head, and since the last byte of the
+        # body.
+        self._head_fed = 0
+        self._framing_fed = 0
 
     @property
     def is_idle(self) -> bool:
@@ -94,6 +115,7 @@
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
         """Registers the connection with the server."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
         self.last_activity_s = self._server.reactor.seconds()
         self._server.connections.add(self)
 
@@ -114,11 +136,13 @@
     # Input.
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parses received data; rejects an invalid request."""
+        """Parses received data in pieces; rejects an invalid request."""
         if self._is_input_ended:
             self._drop(len(data))
             return
-        self._parse(data)
+        for start in range(0, len(data), PIECE_BYTES):
+            if not self._is_input_ended:
+                self._parse(data[start : start + PIECE_BYTES])
 
     def _drop(self, byte_count: int) -> None:
         """Drops data after the end of the input, for a while."""
@@ -140,20 +164,56 @@
             self._is_paused = False
             self.transport.resumeProducing()
 
-    def _parse(self, data: bytes) -> None:
-        self.last_activity_s = self._server.reactor.seconds()
+    def _parse(self, piece: bytes) -> None:
+        self._is_at_edge = False
+        body_bytes = len(self._body)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             self._reject(http.HTTPStatus.NOT_IMPLEMENTED, Refusal.INVALID)
         except httptools.HttpParserError:
             self._reject(http.HTTPStatus.BAD_REQUEST, Refusal.INVALID)
+        if not self._is_input_ended:
+            self._count_fed(len(piece), len(self._body) > body_bytes)
         self._continue_body()
 
+    def _count_fed(self, byte_count: int, has_body: bool) -> None:
+        """Bounds what the parser reads without reporting it.
+
+        Args:
+            byte_count: size of the piece that was fed to the parser.
+            has_body: whether a part of the body was in it.
+        """
+        if self._is_receiving or self._is_at_edge:
+            self.last_activity_s = self._server.reactor.seconds()
+            self._between_fed = 0
+        else:
+            self._between_fed += byte_count
+        if self._is_receiving and not self._is_head_complete:
+            self._head_fed += byte_count
+        self._framing_fed += byte_count
+        if has_body or self._is_at_edge or not self._is_head_complete:
+            self._framing_fed = 0
+        limit = FED_PER_HEAD_BYTE * self._server.limits().header_bytes
+        limit += PIECE_BYTES
+        too_large = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        if self._head_fed > limit:
+            self._reject(too_large, Refusal.HEAD, self._head_fed, limit)
+        elif self._framing_fed > limit:
+            self._reject(too_large, Refusal.TRAILERS, self._framing_fed, limit)
+        elif self._between_fed > limit:
+            self._reject(
+                http.HTTPStatus.BAD_REQUEST,
+                Refusal.EMPTY_LINES,
+                self._between_fed,
+                limit,
+            )
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Handles the start of a request."""
+        self._is_at_edge = True
         self._reset_request()
         self._is_receiving = True
         self._begun_s = self._server.reactor.seconds()
@@ -186,6 +246,8 @@
 
     def on_headers_complete(self) -> None:
         """Records whether the client waits for an interim response."""
+        self._is_head_complete = True
+        self._head_fed = 0
         expectation = self._headers.get("expect", "").lower()
         self._expects_continue = (
             expectation == "100-continue"
@@ -227,6 +289,7 @@
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
+        self._is_at_edge = True
         if self._is_input_ended:
             return
         self._is_receiving = False
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -224,5 +224,9 @@
         if cfg.metrics:
             self._server.listen(cfg.metrics)
 
+    def check_timeouts(self) -> None:
+        """Closes connections over a time limit; to be called periodically."""
+        self._server.check_timeouts()
+
     def _on_request(self, request: HttpRequest) -> None:
         request.respond(200, self._metrics.render(), TEXT_TYPE)
