Keep only those headers of a request that are read

What callers saw: a process that runs out of memory: 400 heads of 4,000 empty headers each, 11 MB on the wire, took 191 MB at callers and at operators.

Cause: each header was kept in a dict as two strings, ten times its size.

A limit on their number would have refused heads within header_bytes.

--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -151,6 +151,7 @@
             self._on_request,
             self._get_limits,
             self._guard,
+            callers.header_names,
         )
         self._readiness = HttpServer(
             reactor,
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -39,6 +39,8 @@
 LINGER_BYTES = 512 * 1024
 MS_PER_S = 1000.0
 CLOSE = ("Connection", "close")
+# Headers that the connection itself reads.
+OWN_HEADERS = frozenset(("content-length", "expect"))
 
 
 class Refusal(enum.StrEnum):
@@ -95,7 +97,7 @@
         self._begun_s = 0.0
         self._is_head_complete = False
         self._expects_continue = False
-        # Size of the path and of all names and values.
+        # Size of the path and of all names and values, also those not kept.
         self._head_bytes = 0
         # Bytes fed to the parser for the head, and since the last byte of the
         # body.
@@ -225,12 +227,13 @@
             self._path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header of the request by its name in lower case."""
+        """Stores a header by its name in lower case, if it is one to keep."""
         self._count_head(len(name) + len(value))
         lower_name = name.decode("latin-1").lower()
         if self._is_input_ended:
             return
-        self._headers[lower_name] = value.decode("latin-1")
+        if lower_name in OWN_HEADERS or lower_name in self._server.header_names:
+            self._headers[lower_name] = value.decode("latin-1")
 
     def _count_head(self, byte_count: int) -> None:
         """Adds to the size of the head and rejects one over the limit."""
--- a/packages/node/src/clayfield/node/httpmessages.py
+++ b/packages/node/src/clayfield/node/httpmessages.py
@@ -44,7 +44,8 @@
     Attributes:
         method: HTTP method in upper case.
         path: path with the query string.
-        headers: values by header name in lower case.
+        headers: values by header name in lower case, of the headers that the
+            server was told to keep.
         body: body, empty for none.
         on_disconnected: called if the connection is lost before the response,
             None for no call.
--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -5,7 +5,7 @@
 request path.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from twisted.internet import interfaces, protocol
 
@@ -42,6 +42,7 @@
         handle: called with each complete request.
         limits: returns the current limits.
         guard: the limits on all clients of the process.
+        header_names: names in lower case of the headers that requests keep.
         connections: the open connections.
         is_closing: whether a connection closes after its next response.
     """
@@ -54,11 +55,13 @@
         handle: Callable[[HttpRequest], None],
         limits: Callable[[], HttpLimits],
         guard: ClientGuard | None = None,
+        header_names: Collection[str] = (),
     ):
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
         self.guard = guard or ClientGuard()
+        self.header_names = frozenset(header_names)
         self.connections: set[HttpConnection] = set()
         self.is_closing = False
         self._failures = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
--- a/packages/node/src/clayfield/node/interfaces.py
+++ b/packages/node/src/clayfield/node/interfaces.py
@@ -86,7 +86,13 @@
 
 
 class CallerProtocol(abc.ABC):
-    """Decodes the requests of callers and encodes the responses."""
+    """Decodes the requests of callers and encodes the responses.
+
+    Attributes:
+        header_names: names in lower case of the headers that it reads.
+    """
+
+    header_names: tuple[str, ...] = ()
 
     @abc.abstractmethod
     def read_call(self, request: HttpRequest, routes: Routes) -> CallerCall:
--- a/packages/node/src/clayfield/node/native/callers.py
+++ b/packages/node/src/clayfield/node/native/callers.py
@@ -100,6 +100,8 @@
 class NativeCallers(CallerProtocol):
     """Decodes callers' requests; the path names the queue."""
 
+    header_names = ("host",)
+
     def read_call(self, request: HttpRequest, routes: Routes) -> CallerCall:
         """Returns the decoded call, or the response to an invalid request."""
         if not routes.version:
