Store no trailer of a request as a header

What callers saw: a chunked job whose trailer names another Host goes to the queue of that host. Found while reading; no client was seen to do it.

Cause: httptools reports a trailer by the same callback as a header.

Evidence: test_trailer_does_not_replace_a_header fails on the code before, with the host of the trailer.

Change: on_header stores nothing once the head is complete. Trailers still count against header_bytes.

--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -230,7 +230,7 @@
         """Stores a header by its name in lower case, if it is one to keep."""
         self._count_head(len(name) + len(value))
         lower_name = name.decode("latin-1").lower()
-        if self._is_input_ended:
+        if self._is_head_complete or self._is_input_ended:
             return
         if lower_name in OWN_HEADERS or lower_name in self._server.header_names:
             self._headers[lower_name] = value.decode("latin-1")
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -32,18 +32,22 @@
 class _Client:
     """A connection to a server that answers each request with its body."""
 
-    def __init__(self, limits=HttpLimits, answers=True):
+    def __init__(self, limits=HttpLimits, answers=True, header_names=()):
         self.reactor = MemoryReactorClock()
         self.requests = []
+        self.headers = []
         self._unanswered = []
         self._answers = answers
-        self.server = HttpServer(self.reactor, self._handle, limits)
+        self.server = HttpServer(
+            self.reactor, self._handle, limits, header_names=header_names
+        )
         self._connection = self.server.buildProtocol(None)
         self._transport = _Transport()
         self._connection.makeConnection(self._transport)
 
     def _handle(self, request):
         self.requests.append((request.method, request.path, request.body))
+        self.headers.append(request.headers)
         self._unanswered.append(request)
         if self._answers:
             self.answer_next()
@@ -298,3 +302,10 @@
     assert not client.is_aborted
     client.wait(2)
     assert client.is_aborted
+
+
+def test_trailer_does_not_replace_a_header():
+    # The queue of a job is selected by its Host header.
+    client = _Client(header_names=("host",))
+    client.send(_head(CHUNKED) + CHUNKS + b"0\r\nHost: other\r\n\r\n")
+    assert client.headers == [{"host": "h"}]
