Hold requests of all clients within one memory budget

What callers saw: a process that runs out of memory and ends. 600 bodies of legal size less a byte took 207 to 223 MB of 128, whole, in pieces or in large chunks; 40 documents of 4 MiB less a byte took 213 MB of a control node.

Cause: a body was bounded for its connection, nothing for the process.

Over it, those that have sent most slowly since they began get 503 with Retry-After; none of them was complete, so none ever runs. Bodies that stand still, or go on by a byte now and then, are the slowest and can't hold the budget. A caller's body is freed once it is decoded.

--- a/packages/base/src/clayfield/base/events.py
+++ b/packages/base/src/clayfield/base/events.py
@@ -433,7 +433,7 @@
         6032,
         logbook.WARNING,
         "a client was refused or disconnected because of a limit",
-        ("reason", "peer", "figure", "limit"),
+        ("reason", "peer", "figure", "limit", "held_bytes"),
     )
     INTERNAL = _Spec(
         9001, logbook.ERROR, "an unexpected error was caught", ("error",)
--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -55,8 +55,9 @@
 LIMITS = HttpLimits(body_bytes=MAX_DOCUMENT_BYTES)
 # Largest request that is read in the event loop.
 MAX_INLINE_BYTES = 64 * 1024
-# Largest number of threads that read requests; the store needs one, too.
-MAX_READERS = 2
+# Largest number of threads that read requests: the lists in a document of 4 MiB
+# may take 90 MB while it is checked.
+MAX_READERS = 1
 # Identity of the stores that form a new cluster. Fixed, so that each voter can
 # compute the names of the others; later stores use their creation time.
 FIRST_STORE_ID = 0
@@ -108,7 +109,7 @@
         self._streams = Streams(
             reactor, NodeGreeting(cfg.cluster, node, ROLE, cfg.hall), self
         )
-        self._guard = ClientGuard()
+        self._guard = ClientGuard(reactor, cfg.memory_mb)
         self._server = HttpServer(
             reactor,
             self._on_request,
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -143,7 +143,7 @@
             self.schedule_actions,
             format_address(cfg.advisor) if cfg.advisor else "",
         )
-        self._guard = ClientGuard()
+        self._guard = ClientGuard(reactor, cfg.memory_mb)
         self._limits = HttpLimits()
         self._limits_version = 0
         self._server = HttpServer(
@@ -268,6 +268,7 @@
 
     def _on_request(self, request: HttpRequest) -> None:
         call = self._callers.read_call(request, self._entry.routes)
+        request.body = b""
         match call:
             case HttpReply():
                 _reply(request, call)
--- a/packages/node/src/clayfield/node/guard.py
+++ b/packages/node/src/clayfield/node/guard.py
@@ -1,24 +1,42 @@
-"""What all HTTP servers of a process share to count refused clients."""
+"""What all HTTP servers of a process share to bound what their clients use."""
+
+from twisted.internet import interfaces
 
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
+from clayfield.node.budget import MemoryBudget, request_limit_bytes
 
+DEFAULT_MEMORY_MB = 300
 # Least time between two log lines with the same reason.
 LOG_INTERVAL_MS = 1000.0
 
 
 class ClientGuard:
-    """The clients that a process has refused, by reason.
+    """The limits on what the clients of a process may use together.
 
     Attributes:
+        budget: the memory that is held for clients.
         refused: number of refused or disconnected clients by reason.
     """
 
-    __slots__ = ("_log_filter", "refused")
+    __slots__ = ("_log_filter", "budget", "refused")
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        memory_mb: int = DEFAULT_MEMORY_MB,
+    ):
+        """Creates the limits of a process.
 
-    def __init__(self) -> None:
-        """Creates the counts of a process."""
+        Args:
+            reactor: the twisted reactor.
+            memory_mb: memory that the process may use, in MB.
+        """
+        # Looked up at each call, as the reactor's clock may be replaced.
+        self.budget = MemoryBudget(
+            request_limit_bytes(memory_mb), lambda: reactor.seconds()
+        )
         self.refused: dict[str, int] = {}
         self._log_filter = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
 
@@ -41,4 +59,5 @@
                 peer=peer,
                 figure=round(figure),
                 limit=round(limit),
+                held_bytes=self.budget.held_bytes,
             )
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -1,7 +1,8 @@
 """One connection of the HTTP server.
 
 Received bytes are parsed in small pieces: the parser keeps an unfinished line,
-so its length has to be bounded before the parser reports it.
+so its length has to be bounded before the parser reports it. All that is held
+for the client counts against the memory budget of the process.
 """
 
 import collections
@@ -14,6 +15,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from clayfield.node.budget import Holder
 from clayfield.node.httpmessages import (
     TEXT_TYPE,
     HttpRequest,
@@ -33,12 +35,16 @@
 # The parser counts separators and white space as well, and the piece that ends
 # an earlier request; names and values alone count against `header_bytes`.
 FED_PER_HEAD_BYTE = 2
+# Memory of an open connection, and of a request besides its text.
+CONNECTION_BYTES = 6144
+REQUEST_BYTES = 1024
 # After its last answer a connection is read for a while: closing it with unread
 # data would reset it, and the client might lose the answer.
 LINGER_MS = 1000.0
 LINGER_BYTES = 512 * 1024
 MS_PER_S = 1000.0
 CLOSE = ("Connection", "close")
+RETRY_SOON = ("Retry-After", "1")
 # Headers that the connection itself reads.
 OWN_HEADERS = frozenset(("content-length", "expect"))
 
@@ -53,9 +59,10 @@
     BODY = "body-size"
     SLOW = "request-time"
     PIPELINED = "waiting-requests"
+    MEMORY = "request-memory"
 
 
-class HttpConnection(protocol.Protocol):
+class HttpConnection(protocol.Protocol, Holder):
     """One connection, also the callback target of its request parser.
 
     Attributes:
@@ -77,6 +84,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._is_paused = False
         self._queue: collections.deque[HttpRequest] = collections.deque()
+        self._queue_bytes = 0
         self._current: HttpRequest | None = None
         self._reset_request()
         self._is_receiving = False
@@ -85,6 +93,7 @@
         # Whether a request has begun or ended in the piece that is parsed.
         self._is_at_edge = False
         self._is_input_ended = False
+        self._is_released = False
         self._last_response = b""
         self._lingers_since_s: float | None = None
         self._lingered_bytes = 0
@@ -120,6 +129,7 @@
         self.transport.bufferSize = READ_BYTES
         self.last_activity_s = self._server.reactor.seconds()
         self._server.connections.add(self)
+        self._update_budget()
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
         """Calls `on_disconnected` of each request without a response."""
@@ -130,6 +140,7 @@
         self._queue.clear()
         self._current = None
         self._reset_request()
+        self._guard.budget.update(self, 0)
         for request in pending:
             if not request.has_response and request.on_disconnected:
                 request.has_response = True
@@ -178,6 +189,7 @@
         if not self._is_input_ended:
             self._count_fed(len(piece), len(self._body) > body_bytes)
         self._continue_body()
+        self._update_budget()
 
     def _count_fed(self, byte_count: int, has_body: bool) -> None:
         """Bounds what the parser reads without reporting it.
@@ -315,6 +327,7 @@
             self._serve(request)
         else:
             self._queue.append(request)
+            self._queue_bytes += _size_of(request)
 
     @property
     def _can_serve(self) -> bool:
@@ -359,11 +372,13 @@
                 self._send_last()
             else:
                 self._continue_body()
+        self._update_budget()
 
     def _serve_next(self) -> None:
         if not self._queue or not self._can_serve:
             return
         request = self._queue.popleft()
+        self._queue_bytes -= _size_of(request)
         self._serve(request)
 
     # The end of the connection.
@@ -397,7 +412,10 @@
         self._is_input_ended = True
         self._is_receiving = False
         self._reset_request()
-        self._last_response = render_response(status, b"", TEXT_TYPE, (CLOSE,))
+        headers = (CLOSE,)
+        if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+            headers = (CLOSE, RETRY_SOON)
+        self._last_response = render_response(status, b"", TEXT_TYPE, headers)
         self._proceed()
 
     def _send_last(self) -> None:
@@ -441,3 +459,49 @@
                 arriving_ms,
                 limit_ms,
             )
+
+    # The memory budget.
+
+    def _update_budget(self) -> None:
+        """Reports what is held for the client."""
+        held_bytes = CONNECTION_BYTES + self._queue_bytes
+        held_bytes += self._head_fed + self._framing_fed + len(self._body)
+        if self._current is not None:
+            held_bytes += _size_of(self._current)
+        if self in self._server.connections:
+            self._guard.budget.update(self, held_bytes)
+
+    @property
+    def can_release(self) -> bool:
+        """Whether the client sends, or waits with requests."""
+        if self._lingers_since_s is not None or self._is_released:
+            return False
+        return self._is_receiving or bool(self._queue)
+
+    def rate(self, now_s: float) -> float:
+        """Returns how fast it has come to hold that much, in bytes a second."""
+        since_s = self._begun_s or self.last_activity_s
+        return self.held_bytes / max(0.001, now_s - since_s)
+
+    def release(self) -> None:
+        """Frees what the client has sent.
+
+        The requests that wait were not begun, so that the error response holds
+        for the first of them.
+        """
+        self._is_released = True
+        self._guard.on_refused(
+            Refusal.MEMORY,
+            self._peer,
+            self.held_bytes,
+            self._guard.budget.limit_bytes,
+        )
+        self._queue.clear()
+        self._queue_bytes = 0
+        self._end_input(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        self._update_budget()
+
+
+def _size_of(request: HttpRequest) -> int:
+    """Returns the memory of a complete request, in bytes."""
+    return REQUEST_BYTES + len(request.path) + len(request.body)
--- a/packages/node/src/clayfield/node/httpmessages.py
+++ b/packages/node/src/clayfield/node/httpmessages.py
@@ -46,7 +46,7 @@
         path: path with the query string.
         headers: values by header name in lower case, of the headers that the
             server was told to keep.
-        body: body, empty for none.
+        body: body, empty for none; a handler that has read it may clear it.
         on_disconnected: called if the connection is lost before the response,
             None for no call.
         has_response: whether a response was given or the connection was lost.
--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -60,7 +60,7 @@
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
-        self.guard = guard or ClientGuard()
+        self.guard = guard or ClientGuard(reactor)
         self.header_names = frozenset(header_names)
         self.connections: set[HttpConnection] = set()
         self.is_closing = False
--- a/packages/node/src/clayfield/node/main.py
+++ b/packages/node/src/clayfield/node/main.py
@@ -23,6 +23,9 @@
 EXIT_USAGE = 2
 ROLES = ("entry", "control")
 MAX_MS = 3_600_000
+# With less, the largest configuration would not fit beside other requests.
+MIN_MEMORY_MB = 128
+MAX_MEMORY_MB = 1_048_576
 
 
 def _parse_addresses(text: str) -> tuple[Address, ...]:
@@ -123,6 +126,12 @@
         "time that a caller who has lost its connection waits before it"
         " submits a job again",
     ),
+    Setting(
+        "memory_mb",
+        int_in_range(MIN_MEMORY_MB, MAX_MEMORY_MB),
+        "300",
+        "memory that the process may use, in MB",
+    ),
     Setting(
         "log_level",
         str,
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -59,6 +59,16 @@
             "Bytes that wait to be sent to other nodes.",
             self._streams.waiting_bytes(),
         )
+        self._set(
+            "request_memory_bytes",
+            "Memory held for clients.",
+            self._guard.budget.held_bytes,
+        )
+        self._set(
+            "request_memory_limit_bytes",
+            "Most memory that is held for clients.",
+            self._guard.budget.limit_bytes,
+        )
         for reason, count in self._guard.refused.items():
             self._refused.set({"reason": reason}, count)
         self._update()
--- a/packages/node/src/clayfield/node/settings.py
+++ b/packages/node/src/clayfield/node/settings.py
@@ -30,6 +30,7 @@
             available.
         resubmit_ms: time that a caller who has lost its connection waits
             before it submits a job that is not kept again.
+        memory_mb: memory that the process may use, in MB.
         log_level: lowest level to log: debug, info, warning or error.
     """
 
@@ -45,6 +46,7 @@
         "lease_ms",
         "log_level",
         "losses",
+        "memory_mb",
         "metrics",
         "name",
         "operators",
@@ -76,6 +78,7 @@
         self.grace_ms = 6000.0
         self.keep_ended_ms = 120_000.0
         self.resubmit_ms = 1300.0
+        self.memory_mb = 300
         self.log_level = "info"
 
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -23,6 +23,7 @@
 # What a node may use in these tests.
 MEMORY_MB = 128
 DESCRIPTORS = 1000
+LIMITS = (f"--memory-mb={MEMORY_MB}",)
 SAMPLE_INTERVAL_S = 0.01
 
 BODY_BYTES = 262_144
@@ -67,9 +68,9 @@
             [seed],
             folder,
             peers=seed,
-            flags=("--losses=0",),
+            flags=("--losses=0", *LIMITS),
         )
-        self.entry = Node("entry", "entry-0", [seed], folder)
+        self.entry = Node("entry", "entry-0", [seed], folder, flags=LIMITS)
         self._keys = itertools.count()
         self._workers = subprocess.Popen(
             [
