Stop reading a connection while many of its requests wait

What callers saw: 429 and a closed connection for the 65th request of a connection, however small.

Cause: a full queue rejected what had already been received instead of holding the sender up.

Evidence: 300 requests sent at once get one 429 on the code before (test_many_requests_that_wait_are_all_answered_in_order).

Change: while 64 requests, or more than body_bytes of them, wait behind the one that is handled, nothing more is parsed and the connection is not read.

Result: the 300 are answered in order.

--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -58,7 +58,6 @@
     EMPTY_LINES = "empty-lines"
     BODY = "body-size"
     SLOW = "request-time"
-    PIPELINED = "waiting-requests"
     MEMORY = "request-memory"
 
 
@@ -82,6 +81,7 @@
         self._guard = server.guard
         self._peer = peer
         self._parser = httptools.HttpRequestParser(self)
+        self._unparsed = b""
         self._is_paused = False
         self._queue: collections.deque[HttpRequest] = collections.deque()
         self._queue_bytes = 0
@@ -139,6 +139,7 @@
         pending += self._queue
         self._queue.clear()
         self._current = None
+        self._unparsed = b""
         self._reset_request()
         self._guard.budget.update(self, 0)
         for request in pending:
@@ -149,13 +150,15 @@
     # Input.
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parses received data in pieces; rejects an invalid request."""
+        """Parses received data, as far as requests may wait here."""
         if self._is_input_ended:
             self._drop(len(data))
             return
-        for start in range(0, len(data), PIECE_BYTES):
-            if not self._is_input_ended:
-                self._parse(data[start : start + PIECE_BYTES])
+        self._unparsed += data
+        self._parse_waiting()
+        if self._unparsed:
+            self._pause_reading()
+            self._update_budget()
 
     def _drop(self, byte_count: int) -> None:
         """Drops data after the end of the input, for a while."""
@@ -177,6 +180,29 @@
             self._is_paused = False
             self.transport.resumeProducing()
 
+    @property
+    def _is_queue_full(self) -> bool:
+        return len(self._queue) >= MAX_PIPELINED or (
+            self._queue_bytes > self._server.limits().body_bytes
+        )
+
+    def _parse_waiting(self) -> None:
+        """Parses the received data in pieces; rejects an invalid request."""
+        while self._can_parse:
+            piece = self._unparsed[:PIECE_BYTES]
+            self._unparsed = self._unparsed[PIECE_BYTES:]
+            self._parse(piece)
+        if not self._unparsed:
+            self._resume_reading()
+
+    @property
+    def _can_parse(self) -> bool:
+        return (
+            bool(self._unparsed)
+            and not self._is_input_ended
+            and not self._is_queue_full
+        )
+
     def _parse(self, piece: bytes) -> None:
         self._is_at_edge = False
         body_bytes = len(self._body)
@@ -316,14 +342,7 @@
             bytes(self._body),
         )
         self._reset_request()
-        if len(self._queue) >= MAX_PIPELINED:
-            self._reject(
-                http.HTTPStatus.TOO_MANY_REQUESTS,
-                Refusal.PIPELINED,
-                len(self._queue),
-                MAX_PIPELINED,
-            )
-        elif self._can_serve and not self._queue:
+        if self._can_serve and not self._queue:
             self._serve(request)
         else:
             self._queue.append(request)
@@ -380,6 +399,7 @@
         request = self._queue.popleft()
         self._queue_bytes -= _size_of(request)
         self._serve(request)
+        self._parse_waiting()
 
     # The end of the connection.
 
@@ -411,6 +431,7 @@
         """Drops the unfinished request; sends an error as the last answer."""
         self._is_input_ended = True
         self._is_receiving = False
+        self._unparsed = b""
         self._reset_request()
         headers = (CLOSE,)
         if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
@@ -434,7 +455,7 @@
         if self._lingers_since_s is not None:
             if (now_s - self._lingers_since_s) * MS_PER_S > LINGER_MS:
                 self.transport.abortConnection()
-        elif self._is_receiving:
+        elif self._is_receiving and not self._is_queue_full:
             self._check_arrival(now_s, elapsed_ms, limits.header_ms)
         elif self.is_idle and elapsed_ms > limits.idle_ms:
             self.close()
@@ -464,7 +485,7 @@
 
     def _update_budget(self) -> None:
         """Reports what is held for the client."""
-        held_bytes = CONNECTION_BYTES + self._queue_bytes
+        held_bytes = CONNECTION_BYTES + len(self._unparsed) + self._queue_bytes
         held_bytes += self._head_fed + self._framing_fed + len(self._body)
         if self._current is not None:
             held_bytes += _size_of(self._current)
@@ -476,7 +497,7 @@
         """Whether the client sends, or waits with requests."""
         if self._lingers_since_s is not None or self._is_released:
             return False
-        return self._is_receiving or bool(self._queue)
+        return self._is_receiving or bool(self._queue) or bool(self._unparsed)
 
     def rate(self, now_s: float) -> float:
         """Returns how fast it has come to hold that much, in bytes a second."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -86,6 +86,10 @@
     def is_aborted(self):
         return self._transport.is_aborted
 
+    @property
+    def is_paused(self):
+        return self._transport.producerState == "paused"
+
 
 def _head(*lines, method=b"PUT"):
     all_lines = (method + b" /c HTTP/1.1", b"Host: h", *lines)
@@ -286,11 +290,19 @@
     assert client.is_closed
 
 
-def test_many_requests_that_wait_get_no_answers_out_of_order():
+def test_many_requests_that_wait_are_all_answered_in_order():
     # The 65th request was rejected in place of the first one's answer.
     client = _Client(answers=False)
-    client.send(*[_head(_length(1)) + b"x" for _ in range(70)])
+    bodies = [b"%03d" % number for number in range(300)]
+    client.send(b"".join(_head(_length(3)) + body for body in bodies))
     assert client.statuses == []
+    assert client.is_paused
+    for _ in bodies:
+        client.answer_next()
+        client.reactor.advance(0)
+    answers = client.output.split(b"HTTP/1.1 ")[1:]
+    assert [answer[-3:] for answer in answers] == bodies
+    assert not client.is_paused
 
 
 def test_answer_to_a_rejected_request_outlasts_unread_data():
