Handle no request of a client that does not read its answers

Cause: the next request of a connection was handled as soon as the answer before it was written to the transport, whether or not the client took it.

Change: while over 16 KiB wait to be sent, the connection's requests wait; the unsent answer counts against the memory budget, whose holder is disconnected if it has to give way. A client that reads nothing for idle_ms plus 1 ms a byte is disconnected.

--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -27,7 +27,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 64
-# Least mean rate at which a body may arrive.
+# Least mean rate at which a body may arrive and an answer may be read.
 MIN_BYTES_PER_MS = 1.0
 # Most bytes that are read from the socket, and that are parsed, at once.
 READ_BYTES = 16_384
@@ -58,6 +58,7 @@
     EMPTY_LINES = "empty-lines"
     BODY = "body-size"
     SLOW = "request-time"
+    UNREAD = "answer-time"
     MEMORY = "request-memory"
 
 
@@ -97,6 +98,9 @@
         self._last_response = b""
         self._lingers_since_s: float | None = None
         self._lingered_bytes = 0
+        self._is_producer = False
+        self._blocked_since_s: float | None = None
+        self._unsent_bytes = 0
 
     def _reset_request(self) -> None:
         """Forgets the request that was being received."""
@@ -127,6 +131,8 @@
         """Registers the connection with the server."""
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = READ_BYTES
+        self._is_producer = True
+        self.transport.registerProducer(self, True)
         self.last_activity_s = self._server.reactor.seconds()
         self._server.connections.add(self)
         self._update_budget()
@@ -350,8 +356,8 @@
 
     @property
     def _can_serve(self) -> bool:
-        """Whether no request is handled."""
-        return self._current is None
+        """Whether no request is handled and the client reads its answers."""
+        return self._current is None and self._blocked_since_s is None
 
     # Answers.
 
@@ -376,6 +382,7 @@
         if request.method == "HEAD":
             head, separator, _ = response.partition(b"\r\n\r\n")
             response = head + separator
+        self._unsent_bytes = len(response)
         self.transport.write(response)
         if self._server.is_closing:
             self.close()
@@ -383,7 +390,7 @@
             self._proceed()
 
     def _proceed(self) -> None:
-        """Goes on with the next request."""
+        """Goes on with the next request, once the client reads its answers."""
         if self._can_serve:
             if self._queue:
                 self._server.reactor.callLater(0, self._serve_next)
@@ -401,11 +408,26 @@
         self._serve(request)
         self._parse_waiting()
 
+    def pauseProducing(self) -> None:  # noqa: N802 - twisted's name
+        """Handles that the client does not read its answers in time."""
+        self._blocked_since_s = self._server.reactor.seconds()
+        self._update_budget()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Handles that all answers are sent."""
+        self._blocked_since_s = None
+        self._unsent_bytes = 0
+        self._proceed()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing: `connectionLost` is called as well."""
+
     # The end of the connection.
 
     def close(self) -> None:
         """Closes the connection after the data already written is sent."""
         self._is_input_ended = True
+        self._unregister_producer()
         self.transport.loseConnection()
 
     def _reject(
@@ -444,10 +466,16 @@
         if self._lingers_since_s is not None:
             return
         self._lingers_since_s = self._server.reactor.seconds()
+        self._unregister_producer()
         self.transport.write(self._last_response)
         self.transport.loseWriteConnection()
         self._resume_reading()
 
+    def _unregister_producer(self) -> None:
+        if self._is_producer:
+            self._is_producer = False
+            self.transport.unregisterProducer()
+
     def check_timeouts(self, now_s: float) -> None:
         """Closes the connection if it is idle or takes too long."""
         limits = self._server.limits()
@@ -455,11 +483,23 @@
         if self._lingers_since_s is not None:
             if (now_s - self._lingers_since_s) * MS_PER_S > LINGER_MS:
                 self.transport.abortConnection()
+        elif self._blocked_since_s is not None:
+            self._check_unread(now_s, limits.idle_ms)
         elif self._is_receiving and not self._is_queue_full:
             self._check_arrival(now_s, elapsed_ms, limits.header_ms)
         elif self.is_idle and elapsed_ms > limits.idle_ms:
             self.close()
 
+    def _check_unread(self, now_s: float, limit_ms: float) -> None:
+        """Disconnects a client that does not read its answers."""
+        blocked_ms = (now_s - self._blocked_since_s) * MS_PER_S
+        limit_ms += self._unsent_bytes / MIN_BYTES_PER_MS
+        if blocked_ms > limit_ms:
+            self._guard.on_refused(
+                Refusal.UNREAD, self._peer, blocked_ms, limit_ms
+            )
+            self.transport.abortConnection()
+
     def _check_arrival(
         self, now_s: float, elapsed_ms: float, limit_ms: float
     ) -> None:
@@ -489,23 +529,32 @@
         held_bytes += self._head_fed + self._framing_fed + len(self._body)
         if self._current is not None:
             held_bytes += _size_of(self._current)
+        if self._blocked_since_s is not None:
+            held_bytes += self._unsent_bytes
         if self in self._server.connections:
             self._guard.budget.update(self, held_bytes)
 
     @property
     def can_release(self) -> bool:
-        """Whether the client sends, or waits with requests."""
+        """Whether the client sends, waits with requests, or does not read."""
         if self._lingers_since_s is not None or self._is_released:
             return False
-        return self._is_receiving or bool(self._queue) or bool(self._unparsed)
+        return (
+            self._is_receiving
+            or bool(self._queue)
+            or bool(self._unparsed)
+            or self._blocked_since_s is not None
+        )
 
     def rate(self, now_s: float) -> float:
         """Returns how fast it has come to hold that much, in bytes a second."""
         since_s = self._begun_s or self.last_activity_s
+        if self._blocked_since_s is not None:
+            since_s = self._blocked_since_s
         return self.held_bytes / max(0.001, now_s - since_s)
 
     def release(self) -> None:
-        """Frees what the client has sent.
+        """Frees what the client has sent, or has not read.
 
         The requests that wait were not begun, so that the error response holds
         for the first of them.
@@ -519,7 +568,11 @@
         )
         self._queue.clear()
         self._queue_bytes = 0
-        self._end_input(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        if self._blocked_since_s is not None:
+            self._unsent_bytes = 0
+            self.transport.abortConnection()
+        else:
+            self._end_input(http.HTTPStatus.SERVICE_UNAVAILABLE)
         self._update_budget()
 
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -66,6 +66,13 @@
             self.reactor.advance(step_s)
             self.server.check_timeouts()
 
+    def block(self):
+        """Stands for a client that does not read what was sent to it."""
+        self._transport.producer.pauseProducing()
+
+    def unblock(self):
+        self._transport.producer.resumeProducing()
+
     def end(self):
         reason = failure.Failure(error.ConnectionDone())
         self._connection.connectionLost(reason)
@@ -321,3 +328,26 @@
     client = _Client(header_names=("host",))
     client.send(_head(CHUNKED) + CHUNKS + b"0\r\nHost: other\r\n\r\n")
     assert client.headers == [{"host": "h"}]
+
+
+def test_requests_of_a_client_that_reads_no_answers_wait():
+    # Answers that nobody read were kept without a bound.
+    client = _Client()
+    client.send(_head(_length(1)) + b"1")
+    client.block()
+    client.send(_head(_length(1)) + b"2", _head(_length(1)) + b"3")
+    assert client.statuses == [200]
+    client.unblock()
+    client.reactor.advance(0)
+    client.reactor.advance(0)
+    assert client.statuses == [200, 200, 200]
+
+
+def test_client_that_reads_no_answer_is_disconnected():
+    client = _Client()
+    client.send(_head(_length(1)) + b"1")
+    client.block()
+    client.wait(14)
+    assert not client.is_aborted
+    client.wait(3)
+    assert client.is_aborted
