Share the event loop between reading requests and all other work

What callers saw: no answer within 30 s beside 600 bodies in chunks of one byte, at callers and at the readiness check.

Cause: each chunk costs several calls, and one turn of the event loop parsed all that had arrived on every connection.

Change: parsing takes at most 30 ms of each 50 ms; what is left over stays unread, and those of whose request least has arrived go first. The bound holds whatever makes a request costly, as it is on the time and not on chunks. Limits are looked up once a piece of 4 KiB instead of once a chunk.

--- a/packages/node/src/clayfield/node/guard.py
+++ b/packages/node/src/clayfield/node/guard.py
@@ -6,6 +6,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 from clayfield.node.budget import MemoryBudget, request_limit_bytes
+from clayfield.node.turns import ReadScheduler
 
 DEFAULT_MEMORY_MB = 300
 # Least time between two log lines with the same reason.
@@ -17,10 +18,11 @@
 
     Attributes:
         budget: the memory that is held for clients.
+        turns: the time that reading from clients takes.
         refused: number of refused or disconnected clients by reason.
     """
 
-    __slots__ = ("_log_filter", "budget", "refused")
+    __slots__ = ("_log_filter", "budget", "refused", "turns")
 
     def __init__(
         self,
@@ -37,6 +39,7 @@
         self.budget = MemoryBudget(
             request_limit_bytes(memory_mb), lambda: reactor.seconds()
         )
+        self.turns = ReadScheduler(reactor)
         self.refused: dict[str, int] = {}
         self._log_filter = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
 
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -21,6 +21,7 @@
     HttpRequest,
     render_response,
 )
+from clayfield.node.turns import Reader
 
 if typing.TYPE_CHECKING:
     from clayfield.node.httpserver import HttpServer
@@ -62,7 +63,7 @@
     MEMORY = "request-memory"
 
 
-class HttpConnection(protocol.Protocol, Holder):
+class HttpConnection(protocol.Protocol, Holder, Reader):
     """One connection, also the callback target of its request parser.
 
     Attributes:
@@ -81,6 +82,8 @@
         self._server = server
         self._guard = server.guard
         self._peer = peer
+        # Read for each piece of input, as the configuration may change them.
+        self._limits = server.limits()
         self._parser = httptools.HttpRequestParser(self)
         self._unparsed = b""
         self._is_paused = False
@@ -112,9 +115,10 @@
         self._expects_continue = False
         # Size of the path and of all names and values, also those not kept.
         self._head_bytes = 0
-        # Bytes fed to the parser for the head, and since the last byte of the
-        # body.
+        # Bytes fed to the parser for the head, for all of the request, and
+        # since the last byte of its body.
         self._head_fed = 0
+        self._request_fed = 0
         self._framing_fed = 0
 
     @property
@@ -127,6 +131,11 @@
             and not self._last_response
         )
 
+    @property
+    def request_bytes(self) -> int:
+        """Bytes that have arrived of the request that is being received."""
+        return self._request_fed + len(self._unparsed)
+
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
         """Registers the connection with the server."""
         self.transport.setTcpNoDelay(True)
@@ -156,12 +165,12 @@
     # Input.
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parses received data, as far as requests may wait here."""
+        """Parses received data, now or when it is this connection's turn."""
         if self._is_input_ended:
             self._drop(len(data))
             return
         self._unparsed += data
-        self._parse_waiting()
+        self._guard.turns.submit(self)
         if self._unparsed:
             self._pause_reading()
             self._update_budget()
@@ -189,17 +198,19 @@
     @property
     def _is_queue_full(self) -> bool:
         return len(self._queue) >= MAX_PIPELINED or (
-            self._queue_bytes > self._server.limits().body_bytes
+            self._queue_bytes > self._limits.body_bytes
         )
 
-    def _parse_waiting(self) -> None:
-        """Parses the received data in pieces; rejects an invalid request."""
-        while self._can_parse:
-            piece = self._unparsed[:PIECE_BYTES]
-            self._unparsed = self._unparsed[PIECE_BYTES:]
-            self._parse(piece)
+    def read_some(self) -> bool:
+        """Parses a piece of the received data; rejects an invalid request."""
+        if not self._can_parse:
+            return False
+        piece = self._unparsed[:PIECE_BYTES]
+        self._unparsed = self._unparsed[PIECE_BYTES:]
+        self._parse(piece)
         if not self._unparsed:
             self._resume_reading()
+        return self._can_parse
 
     @property
     def _can_parse(self) -> bool:
@@ -210,6 +221,7 @@
         )
 
     def _parse(self, piece: bytes) -> None:
+        self._limits = self._server.limits()
         self._is_at_edge = False
         body_bytes = len(self._body)
         try:
@@ -235,12 +247,14 @@
             self._between_fed = 0
         else:
             self._between_fed += byte_count
+        if self._is_receiving:
+            self._request_fed += byte_count
         if self._is_receiving and not self._is_head_complete:
             self._head_fed += byte_count
         self._framing_fed += byte_count
         if has_body or self._is_at_edge or not self._is_head_complete:
             self._framing_fed = 0
-        limit = FED_PER_HEAD_BYTE * self._server.limits().header_bytes
+        limit = FED_PER_HEAD_BYTE * self._limits.header_bytes
         limit += PIECE_BYTES
         too_large = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         if self._head_fed > limit:
@@ -282,7 +296,7 @@
     def _count_head(self, byte_count: int) -> None:
         """Adds to the size of the head and rejects one over the limit."""
         self._head_bytes += byte_count
-        limit = self._server.limits().header_bytes
+        limit = self._limits.header_bytes
         if self._head_bytes > limit:
             self._reject(
                 http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -312,7 +326,7 @@
             return
         self._expects_continue = False
         length = int(self._headers.get("content-length", "0"))
-        if length > self._server.limits().body_bytes:
+        if length > self._limits.body_bytes:
             self._reject_body(length)
         else:
             self.transport.write(CONTINUE)
@@ -323,7 +337,7 @@
         if self._is_input_ended:
             return
         self._body += body
-        if len(self._body) > self._server.limits().body_bytes:
+        if len(self._body) > self._limits.body_bytes:
             self._reject_body(len(self._body))
 
     def _reject_body(self, byte_count: int) -> None:
@@ -331,7 +345,7 @@
             http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             Refusal.BODY,
             byte_count,
-            self._server.limits().body_bytes,
+            self._limits.body_bytes,
         )
 
     def on_message_complete(self) -> None:
@@ -406,7 +420,8 @@
         request = self._queue.popleft()
         self._queue_bytes -= _size_of(request)
         self._serve(request)
-        self._parse_waiting()
+        if self._can_parse:
+            self._guard.turns.submit(self)
 
     def pauseProducing(self) -> None:  # noqa: N802 - twisted's name
         """Handles that the client does not read its answers in time."""
@@ -513,7 +528,11 @@
         arriving_ms = (now_s - self._begun_s) * MS_PER_S
         body_ms = len(self._body) / MIN_BYTES_PER_MS
         is_slow = arriving_ms > limit_ms + body_ms
-        if is_slow or elapsed_ms > limit_ms:
+        if self._unparsed:
+            # It has arrived, but there was no time to read it.
+            if is_slow:
+                self.release()
+        elif is_slow or elapsed_ms > limit_ms:
             self._reject(
                 http.HTTPStatus.REQUEST_TIMEOUT,
                 Refusal.SLOW,
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -69,6 +69,11 @@
             "Most memory that is held for clients.",
             self._guard.budget.limit_bytes,
         )
+        self._set(
+            "waiting_readers",
+            "Connections whose data waits to be read.",
+            self._guard.turns.waiting,
+        )
         for reason, count in self._guard.refused.items():
             self._refused.set({"reason": reason}, count)
         self._update()
