Bound the connections of each listener by the descriptors there are

What callers saw: no ordinary request is answered while a crowd holds open connections; a node loses its workers and peers as well, as it can open none.

Cause: no listener had a bound, so 1,200 connections took 1,216 descriptors of 1,000.

Evidence: 1,216 and 1,218 descriptors on at five HTTP listeners.

At its bound a listener closes what is needed least, several at once, since the search takes longer the more are open: connections after their last answer, idle ones, first those that never had an answer, then the slowest unfinished request. Connections that only connect are therefore closed before those of workers and of ordinary callers, and accepting never stops, so that no loop waits for descriptors.

--- a/packages/node/src/clayfield/node/control_process.py
+++ b/packages/node/src/clayfield/node/control_process.py
@@ -27,6 +27,7 @@
     make_initial_records,
 )
 from clayfield.daemon.store import Store
+from clayfield.node.descriptors import DescriptorShares
 from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import HttpLimits, HttpRequest, HttpServer
 from clayfield.node.interfaces import (
@@ -115,6 +116,7 @@
             self._on_request,
             lambda: LIMITS,
             self._guard,
+            max_connections=DescriptorShares(cfg.max_descriptors).operators,
         )
         self._metrics = ControlMetrics(
             self._control, self._streams, self._guard
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -12,6 +12,10 @@
 
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.node.descriptors import (
+    MAX_SIDE_CONNECTIONS,
+    DescriptorShares,
+)
 from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import HttpLimits, HttpRequest, HttpServer
 from clayfield.node.interfaces import (
@@ -143,6 +147,7 @@
             self.schedule_actions,
             format_address(cfg.advisor) if cfg.advisor else "",
         )
+        shares = DescriptorShares(cfg.max_descriptors)
         self._guard = ClientGuard(reactor, cfg.memory_mb)
         self._limits = HttpLimits()
         self._limits_version = 0
@@ -152,12 +157,14 @@
             self._get_limits,
             self._guard,
             callers.header_names,
+            shares.callers,
         )
         self._readiness = HttpServer(
             reactor,
             self._on_readiness,
             HttpLimits,
             self._guard,
+            max_connections=MAX_SIDE_CONNECTIONS,
         )
         self._pending: dict[int, _PendingRequest] = {}
         self._metrics = EntryMetrics(
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -61,6 +61,7 @@
     SLOW = "request-time"
     UNREAD = "answer-time"
     MEMORY = "request-memory"
+    CONNECTIONS = "connections"
 
 
 class HttpConnection(protocol.Protocol, Holder, Reader):
@@ -69,6 +70,7 @@
     Attributes:
         last_activity_s: time of the last part of a request or of the last
             response, in s; the time of its opening before.
+        has_served: whether it has answered a request.
     """
 
     def __init__(self, server: "HttpServer", peer: str):
@@ -79,6 +81,7 @@
             peer: address of the client, for the log.
         """
         self.last_activity_s = 0.0
+        self.has_served = False
         self._server = server
         self._guard = server.guard
         self._peer = peer
@@ -389,6 +392,7 @@
         if request is not self._current:
             return
         self._current = None
+        self.has_served = True
         self.last_activity_s = self._server.reactor.seconds()
         if self._server.is_closing:
             head, separator, body = response.partition(b"\r\n\r\n")
@@ -445,6 +449,33 @@
         self._unregister_producer()
         self.transport.loseConnection()
 
+    def need(self, now_s: float) -> tuple[int, float] | None:
+        """Returns how much the connection is needed, for comparison.
+
+        Least needed are those after their last answer, then idle ones, first
+        those that never had an answer, then those that send slowest.
+
+        Args:
+            now_s: current time, in s.
+
+        Returns:
+            None while a request is handled.
+        """
+        if self._lingers_since_s is not None:
+            return 0, self._lingers_since_s
+        if self.is_idle:
+            return 2 if self.has_served else 1, self.last_activity_s
+        if self._current is None and not self._queue:
+            return 3, self.rate(now_s)
+        return None
+
+    def give_up(self) -> None:
+        """Ends the connection in favour of another client."""
+        if self.is_idle:
+            self.close()
+        else:
+            self.transport.abortConnection()
+
     def _reject(
         self,
         status: http.HTTPStatus,
--- a/packages/node/src/clayfield/node/httpserver.py
+++ b/packages/node/src/clayfield/node/httpserver.py
@@ -5,6 +5,7 @@
 request path.
 """
 
+import heapq
 from collections.abc import Callable, Collection
 
 from twisted.internet import interfaces, protocol
@@ -13,7 +14,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 from clayfield.node.guard import ClientGuard
-from clayfield.node.httpconnection import HttpConnection
+from clayfield.node.httpconnection import HttpConnection, Refusal
 from clayfield.node.httpmessages import (
     JSON_TYPE,
     TEXT_TYPE,
@@ -30,6 +31,9 @@
     "HttpServer",
 ]
 
+DEFAULT_MAX_CONNECTIONS = 1900
+# One in so many connections is closed at once to make room for new ones.
+CLOSED_SHARE = 32
 # Least time between two log lines about the same exception.
 LOG_INTERVAL_MS = 1000.0
 
@@ -43,6 +47,8 @@
         limits: returns the current limits.
         guard: the limits on all clients of the process.
         header_names: names in lower case of the headers that requests keep.
+        max_connections: most open connections; at this number, those that are
+            needed least are closed for a new one.
         connections: the open connections.
         is_closing: whether a connection closes after its next response.
     """
@@ -56,12 +62,14 @@
         limits: Callable[[], HttpLimits],
         guard: ClientGuard | None = None,
         header_names: Collection[str] = (),
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ):
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
         self.guard = guard or ClientGuard(reactor)
         self.header_names = frozenset(header_names)
+        self.max_connections = max_connections
         self.connections: set[HttpConnection] = set()
         self.is_closing = False
         self._failures = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
@@ -69,9 +77,34 @@
 
     def buildProtocol(  # noqa: N802 - twisted's name
         self, addr: interfaces.IAddress | None
-    ) -> HttpConnection:
-        """Returns the protocol of a new connection."""
-        return HttpConnection(self, getattr(addr, "host", ""))
+    ) -> HttpConnection | None:
+        """Returns the protocol of a new connection, None to close it."""
+        peer = getattr(addr, "host", "")
+        open_count = len(self.connections)
+        if open_count >= self.max_connections:
+            self._make_room()
+        if len(self.connections) >= self.max_connections:
+            self.guard.on_refused(
+                Refusal.CONNECTIONS, peer, open_count, self.max_connections
+            )
+            return None
+        return HttpConnection(self, peer)
+
+    def _make_room(self) -> None:
+        """Closes the connections that are needed least.
+
+        Several at once, as the search takes longer the more are open.
+        """
+        now_s = self.reactor.seconds()
+        found = [
+            (need, number, connection)
+            for number, connection in enumerate(self.connections)
+            if (need := connection.need(now_s)) is not None
+        ]
+        count = max(1, self.max_connections // CLOSED_SHARE)
+        for _, _, connection in heapq.nsmallest(count, found):
+            self.connections.discard(connection)
+            connection.give_up()
 
     def listen(self, address: tuple[str, int]) -> None:
         """Starts to listen, now or as soon as the address is free.
--- a/packages/node/src/clayfield/node/main.py
+++ b/packages/node/src/clayfield/node/main.py
@@ -26,6 +26,8 @@
 # With less, the largest configuration would not fit beside other requests.
 MIN_MEMORY_MB = 128
 MAX_MEMORY_MB = 1_048_576
+MIN_DESCRIPTORS = 512
+MAX_DESCRIPTORS = 1_048_576
 
 
 def _parse_addresses(text: str) -> tuple[Address, ...]:
@@ -132,6 +134,12 @@
         "300",
         "memory that the process may use, in MB",
     ),
+    Setting(
+        "max_descriptors",
+        int_in_range(MIN_DESCRIPTORS, MAX_DESCRIPTORS),
+        "4096",
+        "descriptors that the process may open",
+    ),
     Setting(
         "log_level",
         str,
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -6,6 +6,7 @@
 
 from clayfield.base.events import dropped_line_count
 from clayfield.cluster import ControlNode
+from clayfield.node.descriptors import MAX_SIDE_CONNECTIONS
 from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import (
     TEXT_TYPE,
@@ -227,6 +228,7 @@
             self._on_request,
             HttpLimits,
             guard,
+            max_connections=MAX_SIDE_CONNECTIONS,
         )
 
     def start(self, cfg: NodeSettings) -> None:
--- a/packages/node/src/clayfield/node/settings.py
+++ b/packages/node/src/clayfield/node/settings.py
@@ -31,6 +31,7 @@
         resubmit_ms: time that a caller who has lost its connection waits
             before it submits a job that is not kept again.
         memory_mb: memory that the process may use, in MB.
+        max_descriptors: descriptors that the process may open.
         log_level: lowest level to log: debug, info, warning or error.
     """
 
@@ -46,6 +47,7 @@
         "lease_ms",
         "log_level",
         "losses",
+        "max_descriptors",
         "memory_mb",
         "metrics",
         "name",
@@ -79,6 +81,7 @@
         self.keep_ended_ms = 120_000.0
         self.resubmit_ms = 1300.0
         self.memory_mb = 300
+        self.max_descriptors = 4096
         self.log_level = "info"
 
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -23,7 +23,7 @@
 # What a node may use in these tests.
 MEMORY_MB = 128
 DESCRIPTORS = 1000
-LIMITS = (f"--memory-mb={MEMORY_MB}",)
+LIMITS = (f"--memory-mb={MEMORY_MB}", f"--max-descriptors={DESCRIPTORS}")
 SAMPLE_INTERVAL_S = 0.01
 
 BODY_BYTES = 262_144
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -437,6 +437,7 @@
     "data_dir": None,
     "fault_tolerance": {"machines": 2, "zones": 1},
     "bounds": {"max_hold_ms": 900, "stop_ms": 40, "grace_s": 5},
+    "limits": {"cpu_share": 0.5, "memory_mb": 296, "max_fds": 4100},
     "orders": "call",
     "unknown": {"to": "be ignored"},
 }
@@ -456,6 +457,7 @@
     assert (cfg.losses, cfg.lease_ms, cfg.stop_ms) == (2, 900, 40)
     assert cfg.grace_ms == 5000
     assert cfg.is_first_start
+    assert (cfg.memory_mb, cfg.max_descriptors) == (296, 4100)
 
 
 @pytest.mark.parametrize(
