Bound streams between nodes until their peer has sent its greeting

What callers saw: a process that runs out of memory or descriptors. 40 connections to the port for other nodes that announce a frame of 16 MiB and send 4 of it took 177 MB of an entry node and 148 of a control node; 1,200 silent ones took 1,222 and 1,216 descriptors of 1,000.

Cause: Int32StringReceiver keeps a frame up to its limit, and the limit was that of the largest message also before anyone had said who it is.

A node sends its greeting at once, so its stream is the newest.

--- a/packages/node/src/clayfield/node/streams.py
+++ b/packages/node/src/clayfield/node/streams.py
@@ -19,6 +19,7 @@
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
 from clayfield.base.settings import parse_address as read_address
+from clayfield.node.descriptors import MAX_SIDE_CONNECTIONS
 from clayfield.node.listening import Listener
 from clayfield.state.membership import box_of
 from clayfield.wire.cluster import (
@@ -34,6 +35,10 @@
 CONNECT_TIMEOUT_S = 0.8
 KEEPALIVE_INTERVAL_S = 0.2
 PEER_TIMEOUT_S = 1.1
+# Bounds of a stream whose peer has not sent its greeting: size and time. Their
+# number is bounded by `MAX_SIDE_CONNECTIONS`.
+MAX_GREETING_BYTES = 4096
+GREETING_TIMEOUT_S = 3.0
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.4
 KEEPALIVE_FRAME = b""
@@ -82,13 +87,14 @@
         last_received_s: time of the last data from the peer, in s.
     """
 
-    MAX_LENGTH = MAX_FRAME_BYTES
+    MAX_LENGTH = MAX_GREETING_BYTES
 
     def __init__(self, streams: "Streams", address: str = ""):
         self._streams = streams
         self.address = address
         self.node = ""
         self.last_received_s = 0.0
+        self._opened_s = 0.0
         self._queue: list[Message] = []
         self._is_flush_due = False
 
@@ -98,7 +104,8 @@
             self._abort_self_connection()
             return
         self.transport.setTcpNoDelay(True)
-        self.last_received_s = self._streams.reactor.seconds()
+        self._opened_s = self._streams.reactor.seconds()
+        self.last_received_s = self._opened_s
         self.sendString(encode_node_greeting(self._streams.greeting))
         self._streams.on_connected(self)
 
@@ -141,6 +148,7 @@
                 ErrorKind.BAD_FRAME, "the peer is this node itself."
             )
         self.node = greeting.node
+        self.MAX_LENGTH = MAX_FRAME_BYTES
         self._streams.on_greeted(self, greeting)
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
@@ -200,8 +208,10 @@
 
     def keep_alive(self) -> None:
         """Sends a keepalive frame, or aborts if the peer timed out."""
-        idle_s = self._streams.reactor.seconds() - self.last_received_s
-        if idle_s > PEER_TIMEOUT_S:
+        now_s = self._streams.reactor.seconds()
+        is_silent = now_s - self.last_received_s > PEER_TIMEOUT_S
+        has_greeted = self.node or now_s - self._opened_s <= GREETING_TIMEOUT_S
+        if is_silent or not has_greeted:
             self.transport.abortConnection()
         else:
             self.sendString(KEEPALIVE_FRAME)
@@ -264,6 +274,8 @@
         self.is_stopped = False
         self._connectors: dict[str, _Connector] = {}
         self._open_streams: set[_Stream] = set()
+        # Streams that others have opened and not greeted on, oldest first.
+        self._strangers: dict[_Stream, None] = {}
         self._by_node: dict[str, list[_Stream]] = {}
         self._greetings: dict[str, NodeGreeting] = {}
         self._dropped = RepeatFilter(MonotonicClock(), LOG_INTERVAL_MS)
@@ -356,11 +368,23 @@
             )
 
     def on_connected(self, stream: _Stream) -> None:
-        """Registers a connection whose peer is not identified yet."""
+        """Registers a connection whose peer is not identified yet.
+
+        Of too many that others have opened the oldest is aborted: a node sends
+        its greeting at once.
+        """
         self._open_streams.add(stream)
+        if stream.address:
+            return
+        self._strangers[stream] = None
+        if len(self._strangers) > MAX_SIDE_CONNECTIONS:
+            oldest = next(iter(self._strangers))
+            del self._strangers[oldest]
+            oldest.transport.abortConnection()
 
     def on_greeted(self, stream: _Stream, greeting: NodeGreeting) -> None:
         """Registers a connection under the node that greeted on it."""
+        self._strangers.pop(stream, None)
         streams = self._by_node.setdefault(greeting.node, [])
         streams.append(stream)
         self._greetings[greeting.node] = greeting
@@ -371,6 +395,7 @@
     def on_lost(self, stream: _Stream, reason: failure.Failure) -> None:
         """Removes a connection and schedules a reconnect."""
         self._open_streams.discard(stream)
+        self._strangers.pop(stream, None)
         connector = self._connectors.get(stream.address)
         if connector and not self.is_stopped:
             connector.retry()
