Bound the commands to workers that have no reply yet

What callers saw: after one job of a few hundred bytes, with a step of 12,000 tasks of cpu 1, other callers get no answer for seconds; the holder has no descriptor left.

Cause: every task that fits is started at once, and each start opens a connection if none is idle; stops of a cancelled job likewise.

Change: OpenStarts bounds the start commands without a reply, 256 in all and 32 of one worker; the task waits among those that wait for room, so that priority still decides what is started next. Placement goes on when half of a bound is free again, as a pass over a large job costs much for one start. In the node, CallQueue bounds starts, stops and throttles by the share of the descriptors and 32 of one address, by address in turn. Polls renew leases and are not counted.

--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -139,6 +139,7 @@
             NodeGreeting(cfg.cluster, self._node, ROLE, cfg.hall),
             self,
         )
+        shares = DescriptorShares(cfg.max_descriptors)
         self._commands = WorkerCommands(
             reactor,
             self._clock,
@@ -146,8 +147,9 @@
             self._entry,
             self.schedule_actions,
             format_address(cfg.advisor) if cfg.advisor else "",
+            shares.calls,
+            shares.idle_calls,
         )
-        shares = DescriptorShares(cfg.max_descriptors)
         self._guard = ClientGuard(reactor, cfg.memory_mb)
         self._limits = HttpLimits()
         self._limits_version = 0
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -149,6 +149,11 @@
             "Commands not sent and replies not read.",
             self._commands.failed,
         )
+        self._set(
+            "waiting_commands",
+            "Commands to workers that wait until fewer are open.",
+            self._commands.waiting,
+        )
         dispatcher = entry.dispatcher
         self._set("holding", "Whether it holds workers.", int(bool(dispatcher)))
         if dispatcher is None:
--- a/packages/node/src/clayfield/node/workers.py
+++ b/packages/node/src/clayfield/node/workers.py
@@ -8,7 +8,7 @@
 """
 
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from twisted.internet import interfaces
 from twisted.python.failure import Failure
@@ -16,6 +16,7 @@
 from clayfield.base import Clock
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
+from clayfield.node.call_queue import CallQueue
 from clayfield.node.httpclient import (
     MAX_IDLE_CONNECTIONS,
     CallOutcome,
@@ -45,6 +46,8 @@
 ADVICE_TIMEOUT_S = 5.0
 MS_PER_S = 1000.0
 POOL_IDLE_S = 10.0
+# Most open calls, polls apart.
+MAX_CALLS = 780
 # Least time between two log lines about the failures of one worker.
 LOG_INTERVAL_MS = 10_000.0
 
@@ -67,6 +70,8 @@
         entry: EntryNode,
         schedule_actions: Callback,
         advisor: str = "",
+        max_calls: int = MAX_CALLS,
+        max_idle_connections: int = MAX_IDLE_CONNECTIONS,
     ):
         """Creates it without connections.
 
@@ -78,6 +83,8 @@
             schedule_actions: called after each reply, to run the resulting
                 actions.
             advisor: IP:PORT of the advisor, "" for none.
+            max_calls: most open calls, polls apart.
+            max_idle_connections: most idle connections.
         """
         self._reactor = reactor
         self._clock = clock
@@ -86,7 +93,10 @@
         self._schedule_actions = schedule_actions
         self._advisor_address = advisor
         self._pools: dict[str, ConnectionPool] = {}
-        self._idle_connections = IdleConnections(MAX_IDLE_CONNECTIONS)
+        self._idle_connections = IdleConnections(
+            min(MAX_IDLE_CONNECTIONS, max_idle_connections)
+        )
+        self._queue: CallQueue[_Call] = CallQueue(max_calls)
         self._last_used_s: dict[str, float] = {}
         self._log_filter = RepeatFilter(clock, LOG_INTERVAL_MS)
         self._failed = 0
@@ -96,16 +106,20 @@
         """Number of commands not sent and of replies not read, since start."""
         return self._failed
 
+    @property
+    def waiting(self) -> int:
+        """Number of commands that wait until fewer are open."""
+        return self._queue.waiting
+
     def start(self, command: StartRun) -> None:
         """Sends a request to start a run."""
-        sent_ms = self._clock.now_ms()
 
         def on_reply(reply: CommandReply) -> None:
             self._entry.on_start_reply(
                 command.worker,
                 command.task_id,
                 command.number,
-                sent_ms,
+                call.sent_ms,
                 reply,
             )
 
@@ -118,18 +132,19 @@
             make_failed_reply=CommandReply,
             on_reply=on_reply,
         )
-        self._send(call)
+        self._enqueue(
+            call, ("start", command.worker, command.task_id, command.number)
+        )
 
     def stop(self, command: StopRun) -> None:
         """Sends a request to stop a run."""
-        sent_ms = self._clock.now_ms()
 
         def on_reply(reply: CommandReply) -> None:
             self._entry.on_stop_reply(
                 command.worker,
                 command.task_id,
                 command.number,
-                sent_ms,
+                call.sent_ms,
                 reply,
             )
 
@@ -142,7 +157,9 @@
             make_failed_reply=CommandReply,
             on_reply=on_reply,
         )
-        self._send(call)
+        self._enqueue(
+            call, ("stop", command.worker, command.task_id, command.number)
+        )
 
     def throttle(self, command: ThrottleRun) -> None:
         """Sends a request to throttle a run."""
@@ -155,7 +172,15 @@
             make_failed_reply=CommandReply,
             on_reply=_ignore_reply,
         )
-        self._send(call)
+        self._enqueue(
+            call,
+            (
+                "throttle",
+                command.worker,
+                command.task_id,
+                command.speed_percent,
+            ),
+        )
 
     def poll(self, command: PollWorker) -> None:
         """Sends a poll: renews the lease and lists the worker's runs."""
@@ -199,6 +224,17 @@
         )
         self._send(call)
 
+    def _enqueue(self, call: "_Call", key: Hashable) -> None:
+        """Sends a request as soon as few enough are open."""
+        call.is_counted = True
+        self._queue.add(call.address, key, call)
+        self._send_waiting()
+
+    def _send_waiting(self) -> None:
+        while (call := self._queue.take()) is not None:
+            call.sent_ms = self._clock.now_ms()
+            self._send(call)
+
     def _send(self, call: "_Call") -> None:
         """Sends a request; passes on a failed reply if that raises."""
         try:
@@ -257,10 +293,13 @@
         )
 
     def _deliver(self, call: "_Call", reply: Reply) -> None:
+        if call.is_counted:
+            self._queue.end(call.address)
         try:
             call.on_reply(reply)
         finally:
             self._schedule_actions()
+            self._send_waiting()
 
     def _pool_of(self, address: str) -> ConnectionPool:
         """Returns the connections to an address.
@@ -302,14 +341,18 @@
         read: returns the reply in a response.
         make_failed_reply: returns the reply that stands for a failure.
         on_reply: called with the reply exactly once.
+        sent_ms: time when it was sent, in ms.
+        is_counted: whether it counts as an open call.
     """
 
     __slots__ = (
         "address",
+        "is_counted",
         "make_failed_reply",
         "on_reply",
         "read",
         "receiver",
+        "sent_ms",
         "timeout_s",
         "write",
     )
@@ -332,6 +375,8 @@
         self.read = read
         self.make_failed_reply = make_failed_reply
         self.on_reply = on_reply
+        self.sent_ms = 0.0
+        self.is_counted = False
 
 
 def _ignore_reply(reply: CommandReply) -> None:
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -623,10 +623,12 @@
         """Starts the waiting tasks that fit a worker now.
 
         Does nothing unless an event since the last call may have freed
-        capacity or added tasks.
+        capacity or added tasks, nor while too many starts have no reply.
         """
         if not self._is_changed and not self._jobs.is_changed:
             return
+        if self.fleet.open_starts.is_full:
+            return
         self.before_renewal()
         self._is_changed = False
         self._jobs.is_changed = False
--- a/packages/pool/src/clayfield/pool/fleet.py
+++ b/packages/pool/src/clayfield/pool/fleet.py
@@ -28,6 +28,7 @@
     StopRun,
     ThrottleRun,
 )
+from clayfield.pool.open_starts import OpenStarts
 from clayfield.pool.polling import (
     POLL_WAIT_MS,
     UNREADABLE_PAUSE_MS,
@@ -110,6 +111,7 @@
         self.workers: dict[str, Worker] = {}
         self.actions: list[PoolAction] = []
         self.inherited: dict[TaskId, Run] = {}
+        self.open_starts = OpenStarts()
         self._removed: list[WorkerInfo] = []
         self._recorded_ends: dict[TaskId, tuple[float, EndKind]] = {}
         self._probe_at_ms: dict[str, float] = {}
@@ -318,6 +320,7 @@
         worker.reserve(run)
         lease_ms = max(0.0, self._lease_ms(worker, now_ms))
         worker.on_lease_renewed(now_ms, lease_ms)
+        self.open_starts.add(worker.name, task.id, run.number)
         self.actions.append(
             StartRun(
                 worker.name,
@@ -439,6 +442,7 @@
             sent_ms: time when the request was sent, in ms.
             reply: the reply, or why there is none.
         """
+        self.open_starts.remove(name, task_id, number)
         worker = self.workers.get(name)
         if worker is None:
             return
--- a/packages/pool/src/clayfield/pool/placement.py
+++ b/packages/pool/src/clayfield/pool/placement.py
@@ -11,6 +11,7 @@
 
 from clayfield.pool.isolation import Isolation
 from clayfield.pool.needs import Need, count_fitting, is_of_kind, need_of
+from clayfield.pool.open_starts import OpenStarts
 from clayfield.pool.reservations import Reservations
 from clayfield.pool.tasks import Run, RunState, Task, TaskId
 from clayfield.pool.tickets import TicketCache
@@ -47,6 +48,7 @@
         "_now_ms",
         "_offset",
         "_open_by_name",
+        "_open_starts",
         "_reservations",
         "_tickets",
         "_workers",
@@ -60,6 +62,7 @@
         now_ms: float,
         reservations: Reservations | None = None,
         isolation: Isolation | None = None,
+        open_starts: OpenStarts | None = None,
     ):
         """Creates a selector.
 
@@ -69,6 +72,7 @@
             now_ms: the current time.
             reservations: the workers that are reserved for jobs.
             isolation: the workers that are set aside for suspects.
+            open_starts: the start commands without a reply.
         """
         self.examined = 0
         self._tickets = tickets
@@ -76,6 +80,8 @@
         self._workers = list(workers)
         self._reservations = reservations or Reservations()
         self._isolation = isolation
+        # An empty one is falsy.
+        self._open_starts = OpenStarts() if open_starts is None else open_starts
         self._open_by_name: dict[str, bool] = {}
         self._misses: set[Need] = set()
         self._largest: dict[tuple[str, str], tuple[int, int, int]] | None = None
@@ -182,6 +188,8 @@
         """Returns whether a worker accepts a task now, apart from its room."""
         if not self._is_open(worker):
             return False
+        if self._open_starts.is_worker_full(worker.name):
+            return False
         if self._isolation and not self._isolation.permits(
             worker, task.isolation
         ):
--- a/packages/pool/src/clayfield/pool/placer.py
+++ b/packages/pool/src/clayfield/pool/placer.py
@@ -106,6 +106,7 @@
             self._clock.now_ms(),
             self.reservations,
             self.isolation,
+            self._fleet.open_starts,
         )
         reached = self._place(
             waiting.scan(), selector, blocked_keys, MAX_EXAMINED_FIRST
@@ -119,7 +120,7 @@
         self.examined = selector.examined
         self._reached = reached
         self.is_unfinished = reached is not None
-        if self.is_unfinished:
+        if self.is_unfinished and not self._fleet.open_starts.is_full:
             self._log_unfinished(selector)
 
     def _place(
@@ -142,6 +143,8 @@
         """
         while place := scan.next():
             position, needs = place
+            if self._fleet.open_starts.is_full:
+                return position
             is_blocked = position.key in blocked_keys
             if not is_blocked and not selector.have_missed(needs):
                 self._try_job(self._jobs.waiting.job(position.key), selector)
@@ -182,7 +185,7 @@
         started = 0
         need = need_of(tasks[0])
         for task in tasks:
-            if selector.has_missed(need):
+            if self._fleet.open_starts.is_full or selector.has_missed(need):
                 break
             worker = selector.find(task, need)
             if worker is not None:
