Bound the jobs that a node holds by their memory and their steps

What callers saw: a process that runs out of memory: 60 jobs of legal size with 6,900 steps each took 242 MB of 128. With 100 jobs of 12,000 steps the holder's loop stood for over 1.1 s, so that other nodes took it for lost.

Cause: a step takes 168 to 271 bytes once it is decoded and a task 464 to 556 (tracemalloc), up to 14 times their share of the request, and nothing bounded the sum. A refused or ended job stayed until a full garbage collection, since its tasks refer to it. Each tick forecast all steps of all open jobs: 27 ms for one job of 12,000 steps, 150 for four.

Change: JobMemory estimates jobs by steps and tasks and refuses what exceeds 0.45 of memory_mb above 80 MB, at the entry node and, for the tasks, at the holder, before the tasks are made. Large jobs share three quarters of it; one alone is always accepted, so that a single legal job is served in calm. Jobs with over 64 steps have 20,000 steps together. They get 429 with Retry-After: nothing of them ever runs. A job that may have run at an earlier holder is not refused. Ended jobs drop their tasks. Reviews that take over 5 ms take a fifth of the time.

--- a/packages/node/src/clayfield/node/budget.py
+++ b/packages/node/src/clayfield/node/budget.py
@@ -22,7 +22,7 @@
 # Part of the memory above `BASE_MB` that is used for requests. The rest is for
 # decoded jobs, for copies and for what the allocator does not give back.
 REQUEST_SHARE = 0.3
-JOB_SHARE = 0.2
+JOB_SHARE = 0.45
 
 
 class Holder(abc.ABC):
--- a/packages/node/src/clayfield/node/entry_process.py
+++ b/packages/node/src/clayfield/node/entry_process.py
@@ -12,6 +12,7 @@
 
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
+from clayfield.node.budget import job_limit_bytes
 from clayfield.node.descriptors import (
     MAX_SIDE_CONNECTIONS,
     DescriptorShares,
@@ -38,6 +39,7 @@
     ConnectNode,
     EntryAction,
     EntryNode,
+    JobMemory,
     PollWorker,
     PoolTiming,
     ReplyToCaller,
@@ -132,7 +134,11 @@
         incarnation = int.from_bytes(os.urandom(INCARNATION_BYTES), "big")
         self._node = node_name(format_address(cfg.peers), incarnation)
         self._entry = EntryNode(
-            self._node, cfg.hall, self._clock, to_timing(cfg)
+            self._node,
+            cfg.hall,
+            self._clock,
+            to_timing(cfg),
+            JobMemory(job_limit_bytes(cfg.memory_mb)),
         )
         self._streams = Streams(
             reactor,
--- a/packages/node/src/clayfield/node/metrics.py
+++ b/packages/node/src/clayfield/node/metrics.py
@@ -141,6 +141,16 @@
     def _update(self) -> None:
         entry = self._entry
         self._set("open_jobs", "Jobs without an answer.", entry.open_jobs)
+        self._set(
+            "job_memory_bytes",
+            "Memory of accepted jobs, by their steps and tasks.",
+            entry.memory.total_bytes,
+        )
+        self._set(
+            "job_memory_limit_bytes",
+            "Most memory of accepted jobs.",
+            entry.memory.limit_bytes,
+        )
         self._set("ready", "Whether it takes callers.", int(entry.is_ready))
         self._set("config_version", "In force.", entry.routes.version)
         self._set("epoch", "Of the latest grant.", entry.grant.epoch)
--- a/packages/pool/src/clayfield/pool/__init__.py
+++ b/packages/pool/src/clayfield/pool/__init__.py
@@ -27,6 +27,7 @@
     ThrottleRun,
 )
 from clayfield.pool.entry_node import EntryNode
+from clayfield.pool.job_memory import JobMemory
 from clayfield.pool.routing import Routes
 from clayfield.pool.tasks import TaskId
 from clayfield.pool.timing import PoolTiming
@@ -42,6 +43,7 @@
     "EndedRun",
     "EntryNode",
     "EntryAction",
+    "JobMemory",
     "PoolTiming",
     "PollReply",
     "PollWorker",
--- a/packages/pool/src/clayfield/pool/callers.py
+++ b/packages/pool/src/clayfield/pool/callers.py
@@ -15,6 +15,7 @@
     ReplyToCancel,
     ReplyToStateRequest,
 )
+from clayfield.pool.job_memory import JobMemory, message_bytes
 from clayfield.pool.timing import PoolTiming
 from clayfield.wire.cluster import (
     CancelJob,
@@ -135,10 +136,17 @@
         actions: answers to callers; the entry node clears it.
     """
 
-    def __init__(self, clock: Clock, link: HolderLink, timing: PoolTiming):
+    def __init__(
+        self,
+        clock: Clock,
+        link: HolderLink,
+        timing: PoolTiming,
+        memory: JobMemory,
+    ):
         self.actions: list[EntryAction] = []
         self._clock = clock
         self._timing = timing
+        self._memory = memory
         self._link = link
         self._pending: dict[str, _Pending] = {}
         self._requests: dict[int, _Request] = {}
@@ -169,11 +177,19 @@
     # Jobs.
 
     def submit(self, job: Job, request_id: int) -> None:
-        """Submits a job; a `ReplyToCaller` action reports its result."""
+        """Submits a job; a `ReplyToCaller` action reports its result.
+
+        A new job for which there is no memory is refused.
+        """
         existing = self._pending.get(job.key)
         if existing:
             existing.request_ids.append(request_id)
             return
+        byte_count = message_bytes(job)
+        if not self._memory.has_room_for(job, byte_count):
+            self.refuse(job, request_id, Reason.TOO_MANY)
+            return
+        self._memory.pending.add(job.key, byte_count, len(job.steps))
         pending = _Pending(job, request_id, self._clock.now_ms())
         self._pending[job.key] = pending
         self._forward(pending)
@@ -193,7 +209,7 @@
             return
         pending.request_ids.remove(request_id)
         if not pending.request_ids and not pending.job.is_kept:
-            del self._pending[key]
+            self._remove(key)
             self._link.send_to_holder(CancelJob(0, key, pending.number))
 
     def on_job_ended(self, node: str, ended: JobEnded) -> None:
@@ -219,10 +235,14 @@
             self._answer(pending, ended)
 
     def _answer(self, pending: _Pending, ended: JobEnded) -> None:
-        del self._pending[ended.key]
+        self._remove(ended.key)
         for request_id in pending.request_ids:
             self.actions.append(ReplyToCaller(request_id, ended))
 
+    def _remove(self, key: str) -> None:
+        del self._pending[key]
+        self._memory.pending.remove(key)
+
     def fail_all(self, reason: Reason) -> None:
         """Ends all pending jobs as refused or abandoned."""
         for pending in list(self._pending.values()):
--- a/packages/pool/src/clayfield/pool/crashes.py
+++ b/packages/pool/src/clayfield/pool/crashes.py
@@ -132,7 +132,7 @@
         waiting: list[tuple[float, Task]] = []
         while self._suspected and self._suspected[0][0] <= now_ms:
             until_ms, task = self._suspected.popleft()
-            if task.suspicion is not Suspicion.ONCE or task.job.is_ended:
+            if task.job.is_ended or task.suspicion is not Suspicion.ONCE:
                 continue
             if self._are_many_down(task.job.job.service):
                 waiting.append((until_ms, task))
--- a/packages/pool/src/clayfield/pool/dispatcher.py
+++ b/packages/pool/src/clayfield/pool/dispatcher.py
@@ -24,7 +24,8 @@
 from clayfield.pool.crashes import CrashCounter
 from clayfield.pool.final_replies import FinalReplies
 from clayfield.pool.fleet import Fleet
-from clayfield.pool.intake import MIN_RETRY_MS, Intake
+from clayfield.pool.intake import MIN_RETRY_MS, NO_WORKER_RETRY_MS, Intake
+from clayfield.pool.job_memory import JobMemory, open_bytes
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.job_table import JobTable
 from clayfield.pool.kept import RUNS_PER_EPOCH, KeptJobs
@@ -79,6 +80,7 @@
         listening_since_ms: float = 0.0,
         replies: FinalReplies | None = None,
         node: str = "",
+        memory: JobMemory | None = None,
     ):
         """Creates a dispatcher without workers or jobs.
 
@@ -91,13 +93,16 @@
                 heartbeats of workers, in ms.
             replies: the final replies that this node has sent; None for none.
             node: name of this node.
+            memory: the memory of all jobs of the node; None for the default
+                limit.
         """
+        self._memory = memory or JobMemory()
         self._clock = clock
         is_standby = store is None
         self.fleet = Fleet(clock, timing, self, fence, is_standby)
         self.is_fenced = False
         self.tickets = TicketCache(clock, fence)
-        self._jobs = JobTable()
+        self._jobs = JobTable(self._memory.open)
         self._pausing = Pausing(clock, timing, node, self.fleet, self._jobs)
         self._admission = Admission()
         self._replies = replies or FinalReplies(clock)
@@ -137,6 +142,7 @@
                 self._jobs,
                 self._admission,
                 self._replies,
+                self._memory,
                 self._intake.admit,
                 self._finish,
                 listening_since_ms,
@@ -240,6 +246,11 @@
                 entry, msgspec.structs.replace(ended, number=submit.number)
             )
             return
+        if not submit.was_sent and not self._memory.has_room_for(
+            submit.job, open_bytes(submit.job)
+        ):
+            self._refuse_unopened(entry, submit)
+            return
         arrived_ms = self._clock.now_ms() - submit.age_ms
         first_run = 1 + (
             submit.epoch * RUNS_PER_EPOCH if submit.was_sent else 0
@@ -255,6 +266,18 @@
             return
         self._jobs.enqueue(open_job)
 
+    def _refuse_unopened(self, entry: str, submit: SubmitJob) -> None:
+        """Refuses a new job for which there is no memory."""
+        refused = JobEnded(
+            submit.job.key,
+            Verdict.REFUSED,
+            Reason.TOO_MANY,
+            NO_WORKER_RETRY_MS,
+            submit.number,
+        )
+        self._replies.add(entry, refused)
+        self._send(entry, refused)
+
     def _add_entry(
         self, open_job: OpenJob, entry: str, submit: SubmitJob
     ) -> None:
@@ -342,7 +365,7 @@
         task.run = None
         task.update_checkpoint(run)
         if task.job.is_ended:
-            self._on_leftover_end(task.job.job.key)
+            self._on_leftover_end(task.job)
             return
         if end is RunOutcome.LOST:
             self._crashes.await_evidence(task, worker)
@@ -358,11 +381,13 @@
         elif task.state is not TaskState.DONE:
             self._apply_end(run, end, worker, now_ms)
 
-    def _on_leftover_end(self, key: str) -> None:
+    def _on_leftover_end(self, open_job: OpenJob) -> None:
         """Handles the end of a run that went on after its job had ended."""
+        key = open_job.job.key
         self._leftover_runs[key] -= 1
         if self._leftover_runs[key] <= 0:
             del self._leftover_runs[key]
+            open_job.drop_tasks()
 
     def _restart(self, task: Task, worker: Worker) -> None:
         """Enqueues a long-running task again, on another worker if possible."""
@@ -691,6 +716,8 @@
                 self._leftover_runs[key] += 1
             if task.run.state is not RunState.DOUBTFUL:
                 self.fleet.stop(task.run)
+        if not open_job.has_runs:
+            open_job.drop_tasks()
 
     def _log_end(
         self, open_job: OpenJob, verdict: Verdict, reason: Reason
--- a/packages/pool/src/clayfield/pool/entry_node.py
+++ b/packages/pool/src/clayfield/pool/entry_node.py
@@ -17,6 +17,7 @@
 from clayfield.pool.commands import Advice, CommandReply, PollReply, SendToNode
 from clayfield.pool.dispatcher import Dispatcher
 from clayfield.pool.final_replies import FinalReplies
+from clayfield.pool.job_memory import JobMemory
 from clayfield.pool.job_store_client import JobStoreClient
 from clayfield.pool.kept import KeptJobs
 from clayfield.pool.role import CONTROL_ROLE, ENTRY_ROLE, Role
@@ -64,6 +65,7 @@
         node: name of the node.
         hall: hall of the node.
         routes: the active routing table.
+        memory: the memory of all jobs of the node.
         callers: jobs and requests of callers that wait here.
         dispatcher: schedules workers; None unless this node is the holder or
             the active standby.
@@ -71,11 +73,19 @@
         rejects_jobs: whether it refuses new jobs.
     """
 
-    def __init__(self, node: str, hall: str, clock: Clock, timing: PoolTiming):
+    def __init__(
+        self,
+        node: str,
+        hall: str,
+        clock: Clock,
+        timing: PoolTiming,
+        memory: JobMemory | None = None,
+    ):
         self.node = node
         self.hall = hall
         self.routes = Routes()
-        self.callers = PendingCallers(clock, self, timing)
+        self.memory = memory or JobMemory()
+        self.callers = PendingCallers(clock, self, timing, self.memory)
         self.dispatcher: Dispatcher | None = None
         self.is_stopping = False
         self.rejects_jobs = False
@@ -468,6 +478,7 @@
         is_standby = self._role.is_standby and not self.is_stopping
         if not self._role.is_holder and not is_standby:
             self.dispatcher = None
+            self.memory.clear_open()
             return
         has_same_scope = self.dispatcher and self._is_hall_only == is_standby
         if has_same_scope and self._renew_dispatcher(self.dispatcher):
@@ -497,6 +508,7 @@
         store: JobStoreClient | None = None
         if not self._is_hall_only:
             store = JobStoreClient(self._clock, self.epoch)
+        self.memory.clear_open()
         self.dispatcher = Dispatcher(
             self._clock,
             self._timing,
@@ -505,6 +517,7 @@
             self._started_ms,
             self._replies,
             self.node,
+            self.memory,
         )
         self._send_status()
         self._unused_names.clear()
--- a/packages/pool/src/clayfield/pool/intake.py
+++ b/packages/pool/src/clayfield/pool/intake.py
@@ -5,6 +5,7 @@
 or by another scheduler, it runs on even if it will end late.
 """
 
+import math
 from collections.abc import Callable
 
 from clayfield.base import Clock
@@ -33,6 +34,11 @@
 # that they never keep others from being accepted.
 MAX_STALLED_JOBS = 1000
 
+# Share of the time that reviews may take if one takes over `LONG_REVIEW_MS`, as
+# with jobs of thousands of steps.
+REVIEW_SHARE = 0.2
+LONG_REVIEW_MS = 5.0
+
 Refuse = Callable[[OpenJob, Reason, float], None]
 
 
@@ -74,6 +80,7 @@
         self._reservations = reservations
         self._isolation = isolation
         self._refuse = refuse
+        self._next_review_ms = -math.inf
 
     def admit(self, open_job: OpenJob) -> bool:
         """Returns whether a new job can end in time; refuses it if not.
@@ -206,9 +213,16 @@
         """Refuses waiting jobs that will end late and still may be refused."""
         if self._stalled.review_if_due():
             self._refuse_unsuited()
-        if not self._jobs.has_waiting:
-            return
         now_ms = self._clock.now_ms()
+        if not self._jobs.has_waiting or now_ms < self._next_review_ms:
+            return
+        self._refuse_late(now_ms)
+        took_ms = self._clock.now_ms() - now_ms
+        if took_ms > LONG_REVIEW_MS:
+            self._next_review_ms = now_ms + took_ms / REVIEW_SHARE
+
+    def _refuse_late(self, now_ms: float) -> None:
+        """Refuses the jobs that are forecast to end late and may be refused."""
         forecasts: dict[str, Forecast] = {}
         for open_job in self._jobs.on_time_jobs():
             service = open_job.job.service
--- a/packages/pool/src/clayfield/pool/job_table.py
+++ b/packages/pool/src/clayfield/pool/job_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from clayfield.pool.job_memory import JobLedger, open_bytes
 from clayfield.pool.tasks import OpenJob
 from clayfield.pool.waiting_jobs import WaitingJobs
 
@@ -24,6 +25,7 @@
     """
 
     __slots__ = (
+        "_ledger",
         "_step_totals",
         "by_key",
         "is_changed",
@@ -33,7 +35,13 @@
         "waiting",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, ledger: JobLedger | None = None):
+        """Creates a table without jobs.
+
+        Args:
+            ledger: where the memory of the jobs is recorded; None for nowhere.
+        """
+        self._ledger = ledger or JobLedger()
         self.by_key: dict[str, OpenJob] = {}
         self.on_time: dict[str, OpenJob] = {}
         self.scheduled: dict[str, OpenJob] = {}
@@ -50,6 +58,8 @@
         """Adds a job without enqueuing it."""
         key = open_job.job.key
         self.by_key[key] = open_job
+        job = open_job.job
+        self._ledger.add(key, open_bytes(job), len(job.steps))
         self.on_time[key] = open_job
         if open_job.job.schedule:
             self.scheduled[key] = open_job
@@ -70,6 +80,7 @@
     def remove(self, key: str) -> None:
         """Removes a job, if present."""
         open_job = self.by_key.pop(key, None)
+        self._ledger.remove(key)
         self.on_time.pop(key, None)
         self.scheduled.pop(key, None)
         self.waiting.remove(key)
--- a/packages/pool/src/clayfield/pool/kept.py
+++ b/packages/pool/src/clayfield/pool/kept.py
@@ -18,6 +18,7 @@
 from clayfield.pool.commands import EndedRun, EndKind, SendToNode
 from clayfield.pool.final_replies import FinalReplies
 from clayfield.pool.fleet import Fleet
+from clayfield.pool.job_memory import JobMemory, open_bytes
 from clayfield.pool.job_store_client import (
     AUTHORITY_MS,
     JobChangeRecord,
@@ -130,6 +131,7 @@
         jobs: JobTable,
         admission: Admission,
         replies: FinalReplies,
+        memory: JobMemory,
         admit: Admit,
         finish: Finish,
         listening_since_ms: float,
@@ -143,6 +145,7 @@
             jobs: all open jobs, kept or not.
             admission: expected durations and objectives of jobs.
             replies: the final replies that this node has sent.
+            memory: the memory of all jobs of the node.
             admit: returns whether a new job is admitted; refuses it if not.
             finish: ends an open job with a verdict, a reason and the time
                 after which to retry, in ms.
@@ -156,6 +159,7 @@
         self._jobs = jobs
         self._admission = admission
         self._replies = replies
+        self._memory = memory
         self._admit = admit
         self._finish = finish
         self._listening_since_ms = listening_since_ms
@@ -214,7 +218,8 @@
         if not can_store or not self.store.has_authority:
             self._refuse(entry, submit, Reason.NOT_STORED)
             return
-        if len(self._jobs.by_key) >= MAX_OPEN_JOBS:
+        has_memory = self._memory.has_room_for(job, open_bytes(job))
+        if len(self._jobs.by_key) >= MAX_OPEN_JOBS or not has_memory:
             self._refuse(entry, submit, Reason.TOO_MANY)
             return
         arrived_ms = self._clock.now_ms() - submit.age_ms
--- a/packages/pool/src/clayfield/pool/tasks.py
+++ b/packages/pool/src/clayfield/pool/tasks.py
@@ -499,6 +499,8 @@
         Workers may list runs that were not started for this job.
         """
         job = self.job
+        if not self.tasks:
+            return None
         if not 0 <= task_id.iteration < job.iteration_count:
             return None
         if not 0 <= task_id.step < len(job.steps):
@@ -516,6 +518,14 @@
         """Whether any task of the job has a present run."""
         return any(task.run is not None for task in self.all_tasks())
 
+    def drop_tasks(self) -> None:
+        """Drops the tasks of an ended job that has no runs.
+
+        They refer to the job, so that thousands of them would otherwise stay in
+        memory until the garbage collector looks at the oldest objects.
+        """
+        self.tasks = []
+
     def is_stage_done(self, stage: int) -> bool:
         """Returns whether all tasks of a stage are done."""
         return all(t.state is TaskState.DONE for t in self.tasks[stage])
@@ -557,8 +567,13 @@
     # Ends of runs and gangs.
 
     def gang_tasks(self, task: Task) -> list[Task]:
-        """Returns all tasks of a task's gang, or the task alone."""
-        return self.sibling_tasks(task.id) if task.step.is_gang else [task]
+        """Returns all tasks of a task's gang, or the task alone.
+
+        A gang whose job has dropped its tasks is over, too.
+        """
+        if not task.step.is_gang or not self.tasks:
+            return [task]
+        return self.sibling_tasks(task.id)
 
     def note_done(self, task: Task) -> list[Task]:
         """Marks a task, or its gang, as done; returns the marked tasks."""
