Ignore SIGHUP until a node can handle it

What callers saw: nothing but a node that is away once more: a reload that arrives while a node starts ends the process.

Cause: the handler is installed when the event loop begins; until then, half a second of imports, the signal has its default effect.

The new test fails on the code before.

The soak sends the signal once the process ignores or handles it, as no program has a say before its first instruction.

--- a/packages/testbed/src/clayfield/testbed/client_soak.py
+++ b/packages/testbed/src/clayfield/testbed/client_soak.py
@@ -295,6 +295,7 @@
     def _reload(self) -> str:
         """Has a node read its settings again, several times in a row."""
         node = self._rng.choice(self._site.nodes)
+        wait_for(lambda: node.heeds_reloads, f"{node.log.stem} runs")
         for _ in range(self._rng.randint(1, 5)):
             node.process.send_signal(signal.SIGHUP)
         return "reload"
--- a/packages/testbed/src/clayfield/testbed/node_processes.py
+++ b/packages/testbed/src/clayfield/testbed/node_processes.py
@@ -13,6 +13,7 @@
 REPLY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 KB_PER_MB = 1024
+SIGHUP_MASK = 1 << (signal.SIGHUP - 1)
 
 
 class Node:
@@ -140,6 +141,20 @@
         """Whether the process has not ended."""
         return self.process.poll() is None
 
+    @property
+    def heeds_reloads(self) -> bool:
+        """Whether SIGHUP no longer has its default effect, to end the process.
+
+        A program has no say before its first instruction.
+        """
+        status = self._proc("status").read_text().splitlines()
+        masks = [
+            int(line.split()[1], 16)
+            for line in status
+            if line.startswith(("SigIgn", "SigCgt"))
+        ]
+        return any(mask & SIGHUP_MASK for mask in masks)
+
     @property
     def peak_mb(self) -> float:
         """The most memory that the process has had resident, in MB."""
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -22,7 +22,7 @@
 from clayfield.cli.settings import SETTINGS as COMMAND_LINE
 from clayfield.daemon.settings import SETTINGS, DaemonSettings
 from clayfield.dispatch import parse_problem, render_problem
-from clayfield.node.main import SETTINGS as NODE_SETTINGS
+from clayfield.node.command import SETTINGS as NODE_SETTINGS
 from clayfield.testbed.processes import Cluster
 from clayfield.wire import (
     MAX_FRAME_BYTES,
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -344,3 +344,23 @@
     )
     assert completed.returncode == 2
     assert expected_text in completed.stderr
+
+
+def test_reload_during_a_start_does_not_end_the_process():
+    # SIGHUP ended a node that was still importing its modules.
+    code = (
+        "import signal, sys, clayfield.node.main as main\n"
+        "assert 'twisted' not in sys.modules\n"
+        "sys.argv = ['clayfield-node', '--help']\n"
+        "try: main.main()\n"
+        "except SystemExit: pass\n"
+        "print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)\n"
+    )
+    completed = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert completed.stdout.endswith("True\n"), completed.stderr
