Share the event loop of a box between reading requests and all other work

What callers saw: no answer of clayfieldd within 30 s beside 500 bodies in chunks of one byte.

Cause: twisted.web decodes all that has arrived on a connection at once; a chunk of one byte costs it some microseconds, and one turn of the loop may bring megabytes of them.

Change: FairFactory wraps the ports for callers and operators. Received data is passed on in pieces of 1 KiB by the scheduler that the nodes use, which moves to clayfield.base.turns; a connection whose protocol handles a request is not read.

--- a/packages/daemon/src/clayfield/daemon/process.py
+++ b/packages/daemon/src/clayfield/daemon/process.py
@@ -14,9 +14,11 @@
 
 from clayfield.base import MonotonicClock, use_monotonic_timers
 from clayfield.base.events import Event, emit
+from clayfield.base.turns import ReadScheduler
 from clayfield.box import Identity
 from clayfield.daemon import callers, operators
 from clayfield.daemon.certificates import Certificates
+from clayfield.daemon.fair_http import FairFactory
 from clayfield.daemon.http import LimitedSite, RequestLimits
 from clayfield.daemon.runtime import Runtime
 from clayfield.daemon.settings import DaemonSettings
@@ -58,6 +60,7 @@
         self._runtime = Runtime(
             reactor, cfg, identity, store, _make_tracing(cfg)
         )
+        self._turns = ReadScheduler(reactor)
         self._ports: list[interfaces.IListeningPort] = []
         self._is_stopping = False
 
@@ -126,7 +129,7 @@
         limits: RequestLimits,
     ) -> None:
         host, port = address
-        site = LimitedSite(root, limits)
+        site = FairFactory(LimitedSite(root, limits), self._turns)
         if self._certificates.is_used:
             listening = reactor.listenSSL(
                 port, site, self._certificates, interface=host
--- a/packages/node/src/clayfield/node/guard.py
+++ b/packages/node/src/clayfield/node/guard.py
@@ -5,8 +5,8 @@
 from clayfield.base import MonotonicClock
 from clayfield.base.events import Event, emit
 from clayfield.base.repeats import RepeatFilter
+from clayfield.base.turns import ReadScheduler
 from clayfield.node.budget import MemoryBudget, request_limit_bytes
-from clayfield.node.turns import ReadScheduler
 
 DEFAULT_MEMORY_MB = 300
 # Least time between two log lines with the same reason.
--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -15,13 +15,13 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from clayfield.base.turns import Reader
 from clayfield.node.budget import Holder
 from clayfield.node.httpmessages import (
     TEXT_TYPE,
     HttpRequest,
     render_response,
 )
-from clayfield.node.turns import Reader
 
 if typing.TYPE_CHECKING:
     from clayfield.node.httpserver import HttpServer
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,9 +7,9 @@
 import pytest
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
+from clayfield.base.turns import PERIOD_MS, READING_MS, Reader, ReadScheduler
 from clayfield.node.guard import ClientGuard
 from clayfield.node.httpserver import HttpLimits, HttpServer
-from clayfield.node.turns import PERIOD_MS, READING_MS, Reader, ReadScheduler
 
 PIECE_MS = 2.0
 PERIOD_S = PERIOD_MS / 1000.0
