--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -10,23 +10,10 @@
 import pytest
 
 from clayfield.testbed.node_processes import LOOPBACK, Node
+from clayfield.testbed.node_site import ROUTING
 from clayfield.testbed.processes import fetch, free_port, wait_for
 
 HELD_WORKERS = r"clayfield_held_workers\S* 4\b"
-ROUTING = {
-    "version": 3,
-    "queues": [
-        {
-            "name": "fast",
-            "service": "demo",
-            "timeout_ms": 8000,
-            "target_ms": 5000,
-            "max_attempts": 3,
-            "stretch": 2.0,
-        }
-    ],
-    "services": [{"name": "demo"}],
-}
 JOB = {
     "spec": "text",
     "steps": [
