Abort an idle connection with an unread answer that makes room for another

What callers saw: nothing yet; found while reading. At the bound of a listener, clients that read no answer keep their descriptors although they are chosen to be closed.

Cause: an idle connection is closed once its data is sent, which its client can put off for ever; it no longer counted as open by then.

Evidence: the new case of test_connection_limit fails on the code before.

Change: such a connection is aborted.

--- a/packages/node/src/clayfield/node/httpconnection.py
+++ b/packages/node/src/clayfield/node/httpconnection.py
@@ -471,7 +471,8 @@
 
     def give_up(self) -> None:
         """Ends the connection in favour of another client."""
-        if self.is_idle:
+        # With an unread answer, closing would wait for the client.
+        if self.is_idle and self._blocked_since_s is None:
             self.close()
         else:
             self.transport.abortConnection()
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -73,6 +73,14 @@
     assert [each.is_closed for each in idle] == [True, False, False, False]
 
 
+def test_connection_whose_answer_is_not_read_is_aborted_for_a_new_one(site):
+    # Closing it waited for the client, which kept the descriptor.
+    idle = [site.connect(REQUEST, answers=True) for _ in range(4)]
+    idle[0].producer.pauseProducing()
+    assert site.connect() is not None
+    assert [each.is_aborted for each in idle] == [True, False, False, False]
+
+
 def test_slowest_unfinished_request_is_closed_if_none_is_idle(site):
     slow = site.connect(REQUEST[:-2])
     others = [site.connect(REQUEST) for _ in range(3)]
