Serve on machines with little memory or few descriptors as well

What callers saw: nothing yet; found while reading. On a machine of 80 MB or less, or with 200 descriptors or fewer, every request would be refused.

Cause: the budgets are shares of what is above 80 MB and above 200 descriptors. The flags have lower bounds (128 MB, 512), but the platform passes on whatever its settings file names.

Evidence: the cases for 0 to 80 MB and for 100 and 200 descriptors fail on the code before, with limits of 0 and below.

Change: both budgets are 6 MiB at least, which receives the largest document; of few descriptors half are shared out.

--- a/packages/node/src/clayfield/node/budget.py
+++ b/packages/node/src/clayfield/node/budget.py
@@ -23,6 +23,8 @@
 # decoded jobs, for copies and for what the allocator does not give back.
 REQUEST_SHARE = 0.3
 JOB_SHARE = 0.45
+# With less, the largest configuration could not be received.
+MIN_LIMIT_MB = 6.0
 
 
 class Holder(abc.ABC):
@@ -146,9 +148,11 @@
 
 def request_limit_bytes(memory_mb: int) -> int:
     """Returns the budget for requests of a process with some memory."""
-    return int((memory_mb - BASE_MB) * REQUEST_SHARE * MB)
+    share_mb = (memory_mb - BASE_MB) * REQUEST_SHARE
+    return int(max(MIN_LIMIT_MB, share_mb) * MB)
 
 
 def job_limit_bytes(memory_mb: int) -> int:
     """Returns the budget for open jobs of a process with some memory."""
-    return int((memory_mb - BASE_MB) * JOB_SHARE * MB)
+    share_mb = (memory_mb - BASE_MB) * JOB_SHARE
+    return int(max(MIN_LIMIT_MB, share_mb) * MB)
--- a/packages/node/src/clayfield/node/descriptors.py
+++ b/packages/node/src/clayfield/node/descriptors.py
@@ -22,12 +22,12 @@
     __slots__ = ("callers", "calls", "idle_calls", "operators")
 
     def __init__(self, max_descriptors: int):
-        """Divides what is left beside the reserve.
+        """Divides what is left beside the reserve, half of a small number.
 
         Args:
             max_descriptors: descriptors that the process may open.
         """
-        usable = max_descriptors - RESERVED
+        usable = max(max_descriptors - RESERVED, max_descriptors // 2)
         self.callers = usable // 2
         self.operators = usable * 3 // 4
         self.calls = usable // 5
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -115,6 +115,15 @@
     assert (budget.held_bytes, budget.large_bytes) == (0, 0)
 
 
+@pytest.mark.parametrize("memory_mb", [0, 32, 64, 80, 100, 128])
+def test_process_of_a_small_machine_still_serves(memory_mb):
+    # The platform's settings file may name any size: all were refused.
+    request_bytes = request_limit_bytes(memory_mb)
+    large = MemoryBudget(request_bytes, lambda: 0.0).large_limit_bytes
+    assert large > 4 * 1024 * 1024 + 65_536
+    assert job_limit_bytes(memory_mb) >= 4 * 1024 * 1024
+
+
 @pytest.mark.parametrize("memory_mb", [128, 296, 300, 4096])
 def test_budgets_leave_room_for_the_largest_document(memory_mb):
     request_bytes = request_limit_bytes(memory_mb)
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -96,6 +96,15 @@
     assert site.server.guard.refused == {"connections": 1}
 
 
+@pytest.mark.parametrize("max_descriptors", [100, 200, 300])
+def test_few_descriptors_still_leave_some_for_each_kind(max_descriptors):
+    # The platform's settings file may name any number: all were refused.
+    shares = DescriptorShares(max_descriptors)
+    assert shares.callers >= 25
+    assert shares.operators >= 25
+    assert min(shares.calls, shares.idle_calls) >= 10
+
+
 @pytest.mark.parametrize("max_descriptors", [512, 1000, 4096, 4100, 65_536])
 def test_shares_fit_the_descriptors(max_descriptors):
     shares = DescriptorShares(max_descriptors)
